Serve requests through separate processes, end to end

A burst meets at a model's home; the owner of the cell records a load by conditional update before it orders it; a ticket names one attempt at a booking.

--- /dev/null
+++ b/daemons/apricotd.cpp
@@ -0,0 +1,85 @@
+// apricotd: the daemon, the same on every host.
+#include "process/log.h"
+#include "process/node.h"
+
+#include <boost/asio.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace apricot;
+
+constexpr int badUse = 2; // exit code
+
+std::uint64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+asio::awaitable<void> drainAndStop(Node &node)
+{
+    co_await drainNode(node);
+    stopNode(node);
+}
+
+int run(const Settings &settings)
+{
+    startLog(settings.m_host.m_text);
+    const auto node = makeNode(settings, wallClockMs());
+    const auto failure = startNode(*node);
+    if (failure) {
+        std::cerr << "apricotd: " << failure->m_detail << "\n";
+        return 1;
+    }
+    asio::io_context &first = node->m_threads.front()->m_io;
+    asio::signal_set signals(first, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &error, int) {
+        if (!error)
+            asio::co_spawn(first, drainAndStop(*node), asio::detached);
+    });
+    std::vector<std::thread> threads;
+    for (const auto &thread : node->m_threads) {
+        auto &io = thread->m_io;
+        threads.emplace_back([&io] {
+            const auto work = asio::make_work_guard(io);
+            io.run();
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    return 0;
+}
+
+int checkAndRun(const std::string &path)
+{
+    const auto read = readSettings(path);
+    if (std::holds_alternative<Settings>(read))
+        return run(std::get<Settings>(read));
+    for (const FileFault &fault : std::get<std::vector<FileFault>>(read))
+        std::cerr << toText(fault) << "\n";
+    return badUse;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("apricotd", "Serves rarely used models on one host");
+    options.add_options()("settings", "this host's settings file",
+                          cxxopts::value<std::string>())("help", "show this help");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+            std::cout << options.help();
+            return arguments.count("help") > 0 ? 0 : badUse;
+        }
+        return checkAndRun(arguments["settings"].as<std::string>());
+    } catch (const std::exception &error) {
+        std::cerr << "apricotd: " << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/process/gossip.cpp
@@ -0,0 +1,338 @@
+// Membership on the wire: a UDP probe and its ack a period, rumours on each, and snapshots over
+// TCP for a host that starts or was cut off.
+#include "process/log.h"
+#include "process/node.h"
+
+#include <boost/asio.hpp>
+
+namespace apricot {
+
+using udp = asio::ip::udp;
+
+namespace {
+
+constexpr Millis tickTime = {50};
+constexpr Millis snapshotTimeout = {1'000};
+constexpr Millis snapshotPeriod = {5'000};      // while a seed isn't among the live
+constexpr Millis snapshotRetry = {200};         // until one answered
+constexpr Millis aloneAfter = {3'000};          // no seed answers: go on without
+constexpr std::size_t datagramLimit = 8 * 1024; // bytes
+constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
+
+struct Gossip
+{
+    explicit Gossip(Node &node, const udp::endpoint &at)
+        : m_node(node), m_socket(node.m_threads.front()->m_io, at)
+    {
+    }
+
+    Node &m_node;
+    udp::socket m_socket;
+    std::map<std::uint64_t, Endpoint> m_relayed; // probes sent for others: number to asker
+    std::map<std::uint64_t, std::uint64_t> m_relayedNumber;
+};
+
+udp::endpoint toUdp(const Endpoint &endpoint)
+{
+    return {asio::ip::make_address(endpoint.m_ip), endpoint.m_port};
+}
+
+wire::ClaimEntryT packClaim(const CellClaim &claim)
+{
+    wire::ClaimEntryT entry;
+    entry.cell = claim.m_cell.m_text;
+    entry.epoch = claim.m_epoch.m_value;
+    entry.host = claim.m_host.m_text;
+    entry.owner = claim.m_owner.m_value;
+    return entry;
+}
+
+CellClaim unpackClaim(const wire::ClaimEntryT &entry)
+{
+    return {{entry.cell}, {entry.epoch}, {entry.host}, {entry.owner}};
+}
+
+template<typename Message>
+void packRumours(Message &message, const Rumours &rumours)
+{
+    for (const Member &member : rumours.m_members)
+        message.members.push_back(std::make_unique<wire::MemberEntryT>(packMember(member)));
+    for (const CellClaim &claim : rumours.m_claims)
+        message.claims.push_back(std::make_unique<wire::ClaimEntryT>(packClaim(claim)));
+}
+
+void logChange(const Member &member)
+{
+    static constexpr std::array<const char *, 3> names = {"alive", "suspect", "dead"};
+    logEvent("member",
+             {{"of", member.m_host.m_text},
+              {"state", names.at(static_cast<std::size_t>(member.m_liveness))},
+              {"leaving", member.m_leaving ? "yes" : "no"},
+              {"incarnation", toHex(member.m_incarnation.m_value)},
+              {"configuration", std::to_string(member.m_configNumber)}});
+}
+
+/// Takes in what came, and notes it if it was news worth a line.
+void mergeAndLog(Node &node, const Member &said)
+{
+    const std::lock_guard lock(node.m_members.m_mutex);
+    Membership &membership = node.m_members.m_membership;
+    const auto known = membership.m_members.find(said.m_host);
+    const bool visible = known == membership.m_members.end()
+        || known->second.m_liveness != said.m_liveness || known->second.m_leaving != said.m_leaving
+        || known->second.m_incarnation != said.m_incarnation;
+    if (mergeMember(membership, said, now(node)) && visible && said.m_host != membership.m_self)
+        logChange(said);
+}
+
+template<typename Message>
+void mergeAll(Node &node, const Message &message)
+{
+    for (const auto &entry : message.members)
+        mergeAndLog(node, unpackMember(*entry));
+    const std::lock_guard lock(node.m_members.m_mutex);
+    for (const auto &entry : message.claims)
+        mergeClaim(node.m_members.m_membership, unpackClaim(*entry));
+}
+
+void sendDatagram(Gossip &gossip, const Endpoint &to, const wire::FrameT &frame)
+{
+    const std::string bytes = packFrame(frame);
+    boost::system::error_code ignored;
+    gossip.m_socket.send_to(asio::buffer(bytes), toUdp(to), 0, ignored);
+}
+
+Rumours rumoursFor(Node &node, const HostName &receiver)
+{
+    const std::lock_guard lock(node.m_members.m_mutex);
+    Membership &membership = node.m_members.m_membership;
+    Rumours rumours = takeRumours(membership);
+    // Whoever we doubt must hear of it, or it can't say that it is alive.
+    const auto doubted = membership.m_members.find(receiver);
+    if (doubted != membership.m_members.end() && doubted->second.m_liveness != Liveness::Alive)
+        rumours.m_members.push_back(doubted->second);
+    return rumours;
+}
+
+std::unique_ptr<wire::MemberEntryT> packSelf(Node &node)
+{
+    const std::lock_guard lock(node.m_members.m_mutex);
+    const Membership &membership = node.m_members.m_membership;
+    return std::make_unique<wire::MemberEntryT>(
+        packMember(membership.m_members.at(membership.m_self)));
+}
+
+void sendProbe(Gossip &gossip, const Member &to, std::uint64_t number,
+               const std::optional<Member> &target)
+{
+    wire::ProbeT probe;
+    probe.number = number;
+    probe.sender = packSelf(gossip.m_node);
+    if (target)
+        probe.target = std::make_unique<wire::MemberEntryT>(packMember(*target));
+    packRumours(probe, rumoursFor(gossip.m_node, to.m_host));
+    sendDatagram(gossip, to.m_peer, *makeFrame(std::move(probe)));
+}
+
+void sendAck(Gossip &gossip, const Endpoint &to, const HostName &receiver, std::uint64_t number)
+{
+    wire::AckT ack;
+    ack.number = number;
+    packRumours(ack, rumoursFor(gossip.m_node, receiver));
+    sendDatagram(gossip, to, *makeFrame(std::move(ack)));
+}
+
+void probeReceived(Gossip &gossip, const wire::ProbeT &probe)
+{
+    if (!probe.sender)
+        return;
+    const Member sender = unpackMember(*probe.sender);
+    mergeAndLog(gossip.m_node, sender);
+    mergeAll(gossip.m_node, probe);
+    if (!probe.target) {
+        sendAck(gossip, sender.m_peer, sender.m_host, probe.number);
+        return;
+    }
+    constexpr std::size_t relayLimit = 256;
+    if (gossip.m_relayed.size() >= relayLimit) {
+        gossip.m_relayed.clear();
+        gossip.m_relayedNumber.clear();
+    }
+    const std::uint64_t ours = randomId();
+    gossip.m_relayed[ours] = sender.m_peer;
+    gossip.m_relayedNumber[ours] = probe.number;
+    sendProbe(gossip, unpackMember(*probe.target), ours, {});
+}
+
+void ackArrived(Gossip &gossip, const wire::AckT &ack)
+{
+    mergeAll(gossip.m_node, ack);
+    const auto asker = gossip.m_relayed.find(ack.number);
+    if (asker != gossip.m_relayed.end()) {
+        sendAck(gossip, asker->second, {}, gossip.m_relayedNumber[ack.number]);
+        gossip.m_relayedNumber.erase(ack.number);
+        gossip.m_relayed.erase(asker);
+        return;
+    }
+    const std::lock_guard lock(gossip.m_node.m_members.m_mutex);
+    ackReceived(gossip.m_node.m_members.m_membership, ack.number);
+}
+
+asio::awaitable<void> receiveLoop(std::shared_ptr<Gossip> gossip)
+{
+    std::string bytes(datagramLimit, '\0');
+    udp::endpoint from;
+    while (!gossip->m_node.m_stopped) {
+        const auto [error, size]
+            = co_await gossip->m_socket.async_receive_from(asio::buffer(bytes), from, useAwaitable);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        const FramePtr frame = error ? nullptr : unpackFrame(bytes.data(), size);
+        if (!frame)
+            continue;
+        if (const auto *probe = frame->body.AsProbe())
+            probeReceived(*gossip, *probe);
+        else if (const auto *ack = frame->body.AsAck())
+            ackArrived(*gossip, *ack);
+    }
+}
+
+asio::awaitable<bool> fetchSnapshot(Node &node, Endpoint from)
+{
+    wire::SnapshotAskT ask;
+    ask.sender = packSelf(node);
+    auto answer = co_await callPeer(node.m_threads.front()->m_peers, from,
+                                    makeFrame(std::move(ask)), snapshotTimeout);
+    if (!ok(answer))
+        co_return false;
+    const auto *snapshot = std::get<FramePtr>(answer)->body.AsSnapshotTell();
+    if (snapshot)
+        mergeAll(node, *snapshot);
+    co_return snapshot != nullptr;
+}
+
+bool seedIsLive(Node &node, const Endpoint &seed)
+{
+    for (const Member &member : liveMembersOf(node)) {
+        if (member.m_peer == seed)
+            return true;
+    }
+    return false;
+}
+
+/// Keeps asking the seeds that aren't among the live, so that cut-off groups find each other.
+asio::awaitable<void> snapshotLoop(Node &node)
+{
+    const Millis began = now(node);
+    while (!node.m_stopped) {
+        bool heard = node.m_settings.m_seeds.empty();
+        for (const Endpoint &seed : node.m_settings.m_seeds) {
+            const bool known = seed == node.m_settings.m_peer || seedIsLive(node, seed);
+            if (known)
+                continue;
+            const bool answered = co_await fetchSnapshot(node, seed);
+            heard = heard || answered;
+        }
+        if (heard || now(node) - began >= aloneAfter)
+            node.m_seedsHeard = true;
+        co_await sleepFor(node.m_seedsHeard ? snapshotPeriod : snapshotRetry);
+    }
+}
+
+std::vector<Member> withLivenessChange(const std::map<HostName, Member> &before,
+                                       const std::map<HostName, Member> &after)
+{
+    std::vector<Member> changed;
+    for (const auto &[host, member] : after) {
+        const auto old = before.find(host);
+        if (old != before.end() && old->second.m_liveness != member.m_liveness)
+            changed.push_back(member);
+    }
+    return changed;
+}
+
+ProbePlan tick(Node &node, std::uint64_t &number)
+{
+    const std::lock_guard lock(node.m_members.m_mutex);
+    Membership &membership = node.m_members.m_membership;
+    const std::map<HostName, Member> before = membership.m_members;
+    ProbePlan plan = tickMembership(membership, now(node));
+    number = membership.m_probeNumber;
+    for (const Member &member : withLivenessChange(before, membership.m_members))
+        logChange(member);
+    return plan;
+}
+
+} // namespace
+
+wire::MemberEntryT packMember(const Member &member)
+{
+    wire::MemberEntryT entry;
+    entry.host = member.m_host.m_text;
+    entry.incarnation = member.m_incarnation.m_value;
+    entry.revision = member.m_revision;
+    entry.liveness = static_cast<std::uint8_t>(member.m_liveness);
+    entry.leaving = member.m_leaving;
+    entry.data_centre = member.m_dataCentre.m_text;
+    entry.caller_ip = member.m_caller.m_ip;
+    entry.caller_port = member.m_caller.m_port;
+    entry.peer_ip = member.m_peer.m_ip;
+    entry.peer_port = member.m_peer.m_port;
+    entry.config_number = member.m_configNumber;
+    entry.list_number = member.m_listNumber;
+    return entry;
+}
+
+Member unpackMember(const wire::MemberEntryT &entry)
+{
+    Member member;
+    member.m_host.m_text = entry.host;
+    member.m_incarnation.m_value = entry.incarnation;
+    member.m_revision = entry.revision;
+    member.m_liveness = static_cast<Liveness>(std::min<std::uint8_t>(entry.liveness, 2));
+    member.m_leaving = entry.leaving;
+    member.m_dataCentre.m_text = entry.data_centre;
+    member.m_caller = {entry.caller_ip, entry.caller_port};
+    member.m_peer = {entry.peer_ip, entry.peer_port};
+    member.m_configNumber = entry.config_number;
+    member.m_listNumber = entry.list_number;
+    return member;
+}
+
+wire::SnapshotTellT answerSnapshot(Node &node, const wire::SnapshotAskT &ask)
+{
+    if (ask.sender)
+        mergeAndLog(node, unpackMember(*ask.sender));
+    const std::lock_guard lock(node.m_members.m_mutex);
+    const Membership &membership = node.m_members.m_membership;
+    Rumours everything;
+    for (const auto &[host, member] : membership.m_members)
+        everything.m_members.push_back(member);
+    for (const auto &[cell, claim] : membership.m_claims)
+        everything.m_claims.push_back(claim);
+    wire::SnapshotTellT tell;
+    packRumours(tell, everything);
+    return tell;
+}
+
+asio::awaitable<void> runGossip(Node &node)
+{
+    const udp::endpoint at = toUdp(node.m_settings.m_peer);
+    auto gossip = std::make_shared<Gossip>(node, at);
+    asio::io_context &io = node.m_threads.front()->m_io;
+    spawn(io, receiveLoop(gossip));
+    spawn(io, snapshotLoop(node));
+    while (!node.m_stopped) {
+        std::uint64_t number = 0;
+        const ProbePlan plan = tick(node, number);
+        if (plan.m_direct)
+            sendProbe(*gossip, *plan.m_direct, number, {});
+        for (const Member &helper : plan.m_helpers)
+            sendProbe(*gossip, helper, number, plan.m_target);
+        co_await sleepFor(tickTime);
+    }
+    boost::system::error_code ignored;
+    gossip->m_socket.close(ignored);
+}
+
+} // namespace apricot
--- /dev/null
+++ b/src/process/log.h
@@ -0,0 +1,25 @@
+// One line of key=value pairs for each event and each decision, through easylogging++.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace apricot {
+
+struct LogField
+{
+    std::string_view m_key;
+    std::string m_value;
+};
+
+/// Once at start: lines go to standard output, each with time, level and host.
+void startLog(const std::string &host);
+
+/// event=NAME key=value ...; values with spaces or quotes are quoted.
+void logEvent(std::string_view event, std::initializer_list<LogField> fields);
+
+/// The same for what an operator should look at.
+void logWarning(std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace apricot
--- /dev/null
+++ b/src/process/metrics.cpp
@@ -0,0 +1,132 @@
+// Metrics by prometheus-cpp; rendered on the admin port.
+#include "process/metrics.h"
+
+#include <array>
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace apricot {
+
+using prometheus::BuildCounter;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+constexpr std::size_t spanCount = 5;
+constexpr double msPerSecond = 1000;
+
+struct MetricsRegistry
+{
+    std::shared_ptr<Registry> m_all = std::make_shared<Registry>();
+    std::vector<Counter *> m_answers;                // by ErrorKind
+    std::array<Histogram *, spanCount> m_spans = {}; // by Span
+    Family<Counter> *m_orders = nullptr;
+    Family<Counter> *m_platform = nullptr;
+    Counter *m_retries = nullptr;
+    Counter *m_forwards = nullptr;
+    Counter *m_idle = nullptr;
+};
+
+namespace {
+
+const Histogram::BucketBoundaries &boundaries()
+{
+    static const Histogram::BucketBoundaries seconds = {
+        0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.046, 0.1, 0.2, 0.5, 1, 1.7, 2.5, 5, 10, 30, 60};
+    return seconds;
+}
+
+Histogram *makeHistogram(Registry &registry, const char *name, const char *help)
+{
+    return &BuildHistogram().Name(name).Help(help).Register(registry).Add({}, boundaries());
+}
+
+Counter *makeCounter(Registry &registry, const char *name, const char *help)
+{
+    return &BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+Metrics makeMetrics()
+{
+    auto made = std::make_shared<MetricsRegistry>();
+    Registry &registry = *made->m_all;
+    auto &answers = BuildCounter()
+                        .Name("apricot_answers_total")
+                        .Help("Requests answered, by error kind; none for a whole answer")
+                        .Register(registry);
+    for (const ErrorAnswer &row : errorTable())
+        made->m_answers.push_back(&answers.Add({{"kind", row.m_name}}));
+    made->m_spans = {
+        makeHistogram(registry, "apricot_first_token_seconds", "Request to first byte of answer"),
+        makeHistogram(registry, "apricot_between_tokens_seconds", "Between pieces of a stream"),
+        makeHistogram(registry, "apricot_cold_start_seconds", "Load decided to replica ready"),
+        makeHistogram(registry, "apricot_queue_seconds", "Request to replica chosen"),
+        makeHistogram(registry, "apricot_whole_seconds", "Request to end of answer"),
+    };
+    made->m_orders = &BuildCounter()
+                          .Name("apricot_orders_total")
+                          .Help("Orders to engines, by kind and outcome")
+                          .Register(registry);
+    made->m_platform = &BuildCounter()
+                            .Name("apricot_platform_calls_total")
+                            .Help("Calls to the platform, by call and outcome")
+                            .Register(registry);
+    made->m_retries = makeCounter(registry, "apricot_retries_total", "Attempts after the first");
+    made->m_forwards = makeCounter(registry, "apricot_forwards_total", "Requests sent to a home");
+    made->m_idle = makeCounter(registry, "apricot_idle_accelerator_seconds_total",
+                               "Time that loaded models of owned cells had no request");
+    return {made};
+}
+
+void countAnswer(Metrics &metrics, ErrorKind kind)
+{
+    metrics.m_registry->m_answers.at(static_cast<std::size_t>(kind))->Increment();
+}
+
+void countOrder(Metrics &metrics, OrderKind kind, bool done)
+{
+    const char *name = kind == OrderKind::Load ? "load" : "unload";
+    const char *outcome = done ? "done" : "failed";
+    metrics.m_registry->m_orders->Add({{"kind", name}, {"outcome", outcome}}).Increment();
+}
+
+void countPlatformCall(Metrics &metrics, std::string_view call, bool answered)
+{
+    const char *outcome = answered ? "answered" : "lost";
+    metrics.m_registry->m_platform->Add({{"call", std::string(call)}, {"outcome", outcome}})
+        .Increment();
+}
+
+void countRetry(Metrics &metrics)
+{
+    metrics.m_registry->m_retries->Increment();
+}
+
+void countForward(Metrics &metrics)
+{
+    metrics.m_registry->m_forwards->Increment();
+}
+
+void observe(Metrics &metrics, Span span, Millis time)
+{
+    metrics.m_registry->m_spans.at(static_cast<std::size_t>(span))
+        ->Observe(static_cast<double>(time.m_count) / msPerSecond);
+}
+
+void addIdleTime(Metrics &metrics, Millis time)
+{
+    metrics.m_registry->m_idle->Increment(static_cast<double>(time.m_count) / msPerSecond);
+}
+
+std::string renderMetrics(const Metrics &metrics)
+{
+    return prometheus::TextSerializer().Serialize(metrics.m_registry->m_all->Collect());
+}
+
+} // namespace apricot
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,61 @@
+// A host's own settings file.
+#include "apricot.h"
+#include "version/yamlreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace apricot {
+
+namespace {
+
+constexpr IntBounds threadBounds = {1, 64};
+constexpr IntBounds sizeBounds = {1, 64 << 20};   // bytes
+constexpr IntBounds queueBounds = {1, 1'000'000}; // requests
+constexpr IntBounds timeBounds = {1, 3'600'000};  // ms
+
+Millis readTime(YamlMap &map, const std::string &key, Millis fallback)
+{
+    return {readInt(map, key, fallback.m_count, timeBounds)};
+}
+
+} // namespace
+
+std::variant<Settings, std::vector<FileFault>> readSettings(const std::string &path)
+{
+    std::ifstream stream(path);
+    if (!stream)
+        return std::vector<FileFault>{{path, 0, "", "the file can't be opened"}};
+    std::stringstream text;
+    text << stream.rdbuf();
+    YamlFile file;
+    file.m_path = path;
+    YamlMap map = openYaml(file, text.str());
+    Settings settings;
+    settings.m_host.m_text = readName(map, "host", true);
+    settings.m_dataCentre.m_text = readName(map, "data-centre", true);
+    settings.m_caller = readEndpoint(map, "caller-address", true);
+    settings.m_peer = readEndpoint(map, "peer-address", true);
+    settings.m_admin = readEndpoint(map, "admin-address", true);
+    settings.m_platform = readEndpoints(map, "platform", true);
+    settings.m_seeds = readEndpoints(map, "seeds", false);
+    settings.m_threads
+        = static_cast<int>(readInt(map, "threads", settings.m_threads, threadBounds));
+    settings.m_bodyLimit = static_cast<std::size_t>(readInt(
+        map, "body-limit-bytes", static_cast<std::int64_t>(settings.m_bodyLimit), sizeBounds));
+    settings.m_queueLimit
+        = static_cast<int>(readInt(map, "queue-limit", settings.m_queueLimit, queueBounds));
+    settings.m_addressKeep = readTime(map, "address-keep-ms", settings.m_addressKeep);
+    settings.m_ticketLife = readTime(map, "ticket-life-ms", settings.m_ticketLife);
+    settings.m_drainLimit = readTime(map, "drain-limit-ms", settings.m_drainLimit);
+    settings.m_orderDrain = readTime(map, "order-drain-ms", settings.m_orderDrain);
+    settings.m_platformTimeout = readTime(map, "platform-timeout-ms", settings.m_platformTimeout);
+    if (settings.m_drainLimit <= settings.m_ticketLife)
+        addFault(map, "drain-limit-ms", "must be above ticket-life-ms, or a stop loses tickets");
+    finishMap(map);
+    if (!file.m_faults.empty())
+        return file.m_faults;
+    return settings;
+}
+
+} // namespace apricot
--- /dev/null
+++ b/src/version/yamlreader.cpp
@@ -0,0 +1,266 @@
+// YAML fields with checks. Each reader leaves the fallback and a fault where the file is wrong,
+// so that one pass finds every fault.
+#include "version/yamlreader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cmath>
+
+namespace apricot {
+
+namespace {
+
+constexpr std::size_t longestName = 128; // characters
+
+int lineOf(const YAML::Node &node)
+{
+    return node.IsDefined() ? node.Mark().line + 1 : 0;
+}
+
+std::string fieldPath(const YamlMap &map, const std::string &key)
+{
+    return map.m_field.empty() ? key : map.m_field + "." + key;
+}
+
+std::optional<YAML::Node> fetch(YamlMap &map, const std::string &key, bool required)
+{
+    map.m_known.insert(key);
+    if (map.m_node.IsMap()) {
+        YAML::Node found = map.m_node[key];
+        if (found.IsDefined() && !found.IsNull())
+            return found;
+    }
+    if (required)
+        addFault(map, key, "is missing");
+    return {};
+}
+
+template<typename T>
+std::optional<T> scalar(YamlMap &map, const std::string &key, const YAML::Node &node,
+                        const char *wanted)
+{
+    T value{};
+    if (node.IsScalar() && YAML::convert<T>::decode(node, value))
+        return value;
+    addFault(map, key, std::string("must be ") + wanted);
+    return {};
+}
+
+std::string boundsText(IntBounds bounds)
+{
+    return "must be from " + std::to_string(bounds.m_least) + " to "
+        + std::to_string(bounds.m_most);
+}
+
+std::optional<YAML::Node> fetchList(YamlMap &map, const std::string &key, bool required)
+{
+    std::optional<YAML::Node> node = fetch(map, key, required);
+    if (node && !node->IsSequence()) {
+        addFault(map, key, "must be a list");
+        return {};
+    }
+    return node;
+}
+
+} // namespace
+
+YamlMap openYaml(YamlFile &file, const std::string &text)
+{
+    YamlMap map;
+    map.m_file = &file;
+    try {
+        map.m_node = YAML::Load(text);
+    } catch (const YAML::Exception &error) {
+        file.m_faults.push_back({file.m_path, error.mark.line + 1, "", error.msg});
+        map.m_node = YAML::Node(YAML::NodeType::Map);
+        return map;
+    }
+    if (!map.m_node.IsMap())
+        file.m_faults.push_back({file.m_path, 1, "", "the file must be a mapping of keys"});
+    return map;
+}
+
+void addFault(const YamlMap &map, const std::string &key, const std::string &message)
+{
+    int line = lineOf(map.m_node);
+    if (map.m_node.IsMap() && map.m_node[key].IsDefined())
+        line = lineOf(map.m_node[key]);
+    map.m_file->m_faults.push_back({map.m_file->m_path, line, fieldPath(map, key), message});
+}
+
+bool hasKey(const YamlMap &map, const std::string &key)
+{
+    return map.m_node.IsMap() && map.m_node[key].IsDefined();
+}
+
+std::string readText(YamlMap &map, const std::string &key, bool required)
+{
+    const auto node = fetch(map, key, required);
+    if (!node)
+        return {};
+    return scalar<std::string>(map, key, *node, "a text").value_or("");
+}
+
+std::string readName(YamlMap &map, const std::string &key, bool required)
+{
+    std::string name = readText(map, key, required);
+    const bool goodLetters = std::all_of(name.begin(), name.end(), [](unsigned char letter) {
+        return std::isalnum(letter) || letter == '-' || letter == '_' || letter == '.';
+    });
+    if (!goodLetters || name.size() > longestName)
+        addFault(map, key, "must be letters, digits, '-', '_' or '.', at most 128 of them");
+    return name;
+}
+
+std::int64_t readInt(YamlMap &map, const std::string &key, std::int64_t fallback, IntBounds bounds)
+{
+    const auto node = fetch(map, key, false);
+    if (!node)
+        return fallback;
+    const auto value = scalar<std::int64_t>(map, key, *node, "a whole number");
+    if (!value)
+        return fallback;
+    if (*value >= bounds.m_least && *value <= bounds.m_most)
+        return *value;
+    addFault(map, key, boundsText(bounds));
+    return fallback;
+}
+
+double readReal(YamlMap &map, const std::string &key, double fallback, double above)
+{
+    const auto node = fetch(map, key, false);
+    if (!node)
+        return fallback;
+    const auto value = scalar<double>(map, key, *node, "a number");
+    if (!value)
+        return fallback;
+    if (std::isfinite(*value) && *value > above)
+        return *value;
+    addFault(map, key, "must be above " + std::to_string(above));
+    return fallback;
+}
+
+bool readBool(YamlMap &map, const std::string &key, bool fallback)
+{
+    const auto node = fetch(map, key, false);
+    if (!node)
+        return fallback;
+    return scalar<bool>(map, key, *node, "true or false").value_or(fallback);
+}
+
+Endpoint readEndpoint(YamlMap &map, const std::string &key, bool required)
+{
+    const auto node = fetch(map, key, required);
+    if (!node)
+        return {};
+    const auto text = scalar<std::string>(map, key, *node, "IP:PORT").value_or("");
+    const auto endpoint = parseEndpoint(text);
+    if (!endpoint)
+        addFault(map, key, "must be an IP number and a port, such as 10.0.0.1:8080");
+    return endpoint.value_or(Endpoint{});
+}
+
+std::vector<std::int64_t> readInts(YamlMap &map, const std::string &key, IntBounds bounds)
+{
+    std::vector<std::int64_t> values;
+    const auto list = fetchList(map, key, false);
+    if (!list)
+        return values;
+    for (const YAML::Node &item : *list) {
+        std::int64_t value = 0;
+        const bool read = item.IsScalar() && YAML::convert<std::int64_t>::decode(item, value);
+        if (!read || value < bounds.m_least || value > bounds.m_most)
+            addFault(map, key, "each " + boundsText(bounds));
+        values.push_back(value);
+    }
+    return values;
+}
+
+std::vector<Endpoint> readEndpoints(YamlMap &map, const std::string &key, bool required)
+{
+    std::vector<Endpoint> endpoints;
+    const auto list = fetchList(map, key, required);
+    if (!list)
+        return endpoints;
+    for (const YAML::Node &item : *list) {
+        const auto endpoint = parseEndpoint(item.IsScalar() ? item.Scalar() : "");
+        if (!endpoint)
+            addFault(map, key, "each must be an IP number and a port, such as 10.0.0.1:8080");
+        endpoints.push_back(endpoint.value_or(Endpoint{}));
+    }
+    return endpoints;
+}
+
+std::optional<YamlMap> readMap(YamlMap &map, const std::string &key)
+{
+    const auto node = fetch(map, key, false);
+    if (!node)
+        return {};
+    if (!node->IsMap()) {
+        addFault(map, key, "must be a mapping of keys");
+        return {};
+    }
+    YamlMap inner;
+    inner.m_file = map.m_file;
+    inner.m_node = *node;
+    inner.m_field = fieldPath(map, key);
+    return inner;
+}
+
+std::vector<YamlMap> readMaps(YamlMap &map, const std::string &key)
+{
+    std::vector<YamlMap> maps;
+    const auto list = fetchList(map, key, false);
+    if (!list)
+        return maps;
+    std::size_t index = 0;
+    for (const YAML::Node &item : *list) {
+        YamlMap inner;
+        inner.m_file = map.m_file;
+        inner.m_node = item;
+        inner.m_field = fieldPath(map, key) + "[" + std::to_string(index++) + "]";
+        if (item.IsMap())
+            maps.push_back(inner);
+        else
+            map.m_file->m_faults.push_back(
+                {map.m_file->m_path, lineOf(item), inner.m_field, "must be a mapping of keys"});
+    }
+    return maps;
+}
+
+std::size_t readChoice(YamlMap &map, const std::string &key,
+                       const std::vector<std::string> &choices)
+{
+    const auto node = fetch(map, key, false);
+    if (!node)
+        return 0;
+    const std::string text = node->IsScalar() ? node->Scalar() : "";
+    const auto found = std::find(choices.begin(), choices.end(), text);
+    if (found != choices.end())
+        return static_cast<std::size_t>(found - choices.begin());
+    std::string all;
+    for (const std::string &choice : choices)
+        all += (all.empty() ? "" : ", ") + choice;
+    addFault(map, key, "must be one of " + all);
+    return 0;
+}
+
+void finishMap(YamlMap &map)
+{
+    if (!map.m_node.IsMap())
+        return;
+    std::set<std::string> seen;
+    for (const auto &entry : map.m_node) {
+        const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "";
+        std::string message;
+        if (!map.m_known.contains(key))
+            message = "is not a known key";
+        else if (!seen.insert(key).second)
+            message = "stands twice";
+        if (!message.empty())
+            map.m_file->m_faults.push_back(
+                {map.m_file->m_path, lineOf(entry.first), fieldPath(map, key), message});
+    }
+}
+
+} // namespace apricot
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,212 @@
+// Stand-in for the platform: versioned objects with conditional updates and long-poll watches,
+// and the weight store. It counts every call, and can be down, slow, over its rate, or apply an
+// update and lose the answer. docs/OUTSIDE.md gives the protocol.
+#include "standin.h"
+
+#include <cxxopts.hpp>
+
+using namespace standin;
+
+namespace {
+
+constexpr std::size_t valueLimit = 1 << 20; // bytes
+constexpr std::int64_t watchStep = 20;      // ms between a watch's looks
+
+struct Object
+{
+    std::uint64_t m_version = 0;
+    std::string m_value;
+};
+
+struct Counts
+{
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_watches = 0;
+    std::uint64_t m_conflicts = 0;
+    std::uint64_t m_refused = 0; // over the rate
+    std::uint64_t m_loads = 0;   // from the weight store
+};
+
+struct Platform
+{
+    std::map<std::string, Object> m_objects;
+    std::map<std::string, std::uint64_t> m_callsByKey;
+    std::uint64_t m_lastVersion = 0;
+    Counts m_counts;
+    Fault m_fault;
+    Millis m_answerTime = {2};
+    int m_writesPerSecond = 400;
+    int m_readsPerSecond = 2000;
+    double m_loadsPerSecond = 4;
+    int m_loadsAtOnce = 4;
+    int m_loadsRunning = 0;
+    std::int64_t m_nextLoadStart = 0; // unix ms
+    std::int64_t m_second = 0;
+    int m_writesThisSecond = 0;
+    int m_readsThisSecond = 0;
+};
+
+bool overRate(Platform &platform, bool write)
+{
+    const std::int64_t second = unixMillis() / 1000;
+    if (second != platform.m_second) {
+        platform.m_second = second;
+        platform.m_writesThisSecond = 0;
+        platform.m_readsThisSecond = 0;
+    }
+    if (write)
+        return ++platform.m_writesThisSecond > platform.m_writesPerSecond;
+    return ++platform.m_readsThisSecond > platform.m_readsPerSecond;
+}
+
+HttpResponse error(unsigned status, const char *text)
+{
+    return answer(status, {{"error", text}});
+}
+
+HttpResponse objectAnswer(unsigned status, const Object &object)
+{
+    return {{status, {{"Object-Version", std::to_string(object.m_version)}}}, object.m_value};
+}
+
+asio::awaitable<HttpResponse> getObject(Platform &platform, std::string key, Target target)
+{
+    const auto newerThan
+        = static_cast<std::uint64_t>(std::stoull("0" + fieldOf(target.m_query, "newer-than")));
+    const Millis wait = {toInt(fieldOf(target.m_query, "wait-ms"), 0)};
+    wait.m_count > 0 ? ++platform.m_counts.m_watches : ++platform.m_counts.m_reads;
+    const std::int64_t until = unixMillis() + wait.m_count;
+    while (true) {
+        const Object object = platform.m_objects[key];
+        if (object.m_version > newerThan)
+            co_return objectAnswer(200, object);
+        const std::int64_t left = until - unixMillis();
+        if (left <= 0 || platform.m_fault.m_mode == "down")
+            co_return objectAnswer(object.m_version == 0 ? 404 : 304, {object.m_version, ""});
+        co_await pause({std::min<std::int64_t>(left, watchStep)});
+    }
+}
+
+HttpResponse putObject(Platform &platform, const std::string &key, const HttpRequest &request)
+{
+    ++platform.m_counts.m_writes;
+    Object &object = platform.m_objects[key];
+    const std::string expected = fieldOf(request.m_fields, "If-Version");
+    if (request.m_body.size() > valueLimit)
+        return error(413, "over a megabyte");
+    if (!expected.empty() && std::stoull(expected) != object.m_version) {
+        ++platform.m_counts.m_conflicts;
+        return objectAnswer(412, {object.m_version, ""});
+    }
+    object.m_version = ++platform.m_lastVersion;
+    object.m_value = request.m_body;
+    return objectAnswer(200, {object.m_version, ""});
+}
+
+/// A load from the weight store: starts at its rate, slower when too many run at once.
+asio::awaitable<HttpResponse> getWeights(Platform &platform, Target target)
+{
+    ++platform.m_counts.m_loads;
+    const double fullSpeed = toInt(fieldOf(target.m_query, "ms"), 1000);
+    const std::int64_t begin = std::max(unixMillis(), platform.m_nextLoadStart);
+    platform.m_nextLoadStart
+        = begin + static_cast<std::int64_t>(1000.0 / platform.m_loadsPerSecond);
+    co_await pause({begin - unixMillis()});
+    ++platform.m_loadsRunning;
+    const double crowd = static_cast<double>(platform.m_loadsRunning) / platform.m_loadsAtOnce;
+    co_await pause({static_cast<std::int64_t>(fullSpeed * std::max(1.0, crowd))});
+    --platform.m_loadsRunning;
+    HttpResponse response;
+    response.m_body = "loaded";
+    co_return response;
+}
+
+json::value countsOf(const Platform &platform)
+{
+    json::object byKey;
+    for (const auto &[key, calls] : platform.m_callsByKey)
+        byKey[key] = calls;
+    const Counts &counts = platform.m_counts;
+    return {{"reads", counts.m_reads},         {"writes", counts.m_writes},
+            {"watches", counts.m_watches},     {"conflicts", counts.m_conflicts},
+            {"over_rate", counts.m_refused},   {"weight_loads", counts.m_loads},
+            {"calls_by_key", std::move(byKey)}};
+}
+
+asio::awaitable<void> serveObject(Platform &platform, HttpExchange &exchange, Target target)
+{
+    std::string key = target.m_path[1];
+    for (std::size_t i = 2; i < target.m_path.size(); ++i)
+        key += "/" + target.m_path[i];
+    ++platform.m_callsByKey[key];
+    const bool write = exchange.m_request.m_method == "PUT";
+    if (hits(platform.m_fault, "down")) {
+        breakOff(exchange);
+        co_return;
+    }
+    if (hits(platform.m_fault, "slow"))
+        co_await pause(platform.m_fault.m_time);
+    if (overRate(platform, write)) {
+        ++platform.m_counts.m_refused;
+        const HttpResponse refusal = error(429, "over the rate");
+        co_await sendWhole(exchange, refusal);
+        co_return;
+    }
+    co_await pause(platform.m_answerTime);
+    HttpResponse response;
+    if (write)
+        response = putObject(platform, key, exchange.m_request);
+    else
+        response = co_await getObject(platform, key, target);
+    if (write && hits(platform.m_fault, "lose-answer")) {
+        breakOff(exchange);
+        co_return;
+    }
+    co_await sendWhole(exchange, response);
+}
+
+HttpResponse answerSimple(Platform &platform, const std::string &path)
+{
+    if (path == "/standin/counts")
+        return answer(200, countsOf(platform));
+    if (!path.starts_with("/standin/fault"))
+        return error(404, "no such path");
+    platform.m_fault = readFault(*parseTarget(path));
+    return answer(200, {{"mode", platform.m_fault.m_mode}});
+}
+
+asio::awaitable<void> serve(Platform &platform, HttpExchange &exchange)
+{
+    const auto target = parseTarget(exchange.m_request.m_target);
+    const std::string first = target && !target->m_path.empty() ? target->m_path[0] : "";
+    if (first == "objects" && target->m_path.size() > 1) {
+        co_await serveObject(platform, exchange, *target);
+        co_return;
+    }
+    HttpResponse response;
+    if (first == "weights")
+        response = co_await getWeights(platform, *target);
+    else
+        response = answerSimple(platform, exchange.m_request.m_target);
+    co_await sendWhole(exchange, response);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("standin-platform", "Stand-in for the platform's object API");
+    options.add_options()("listen", "IP:PORT", cxxopts::value<std::string>())(
+        "answer-ms", "time of one call", cxxopts::value<int>()->default_value("2"))(
+        "loads-per-second", "weight store", cxxopts::value<double>()->default_value("4"))(
+        "loads-at-once", "weight store", cxxopts::value<int>()->default_value("4"));
+    const auto arguments = options.parse(argc, argv);
+    asio::io_context io(1);
+    Platform platform;
+    platform.m_answerTime = {arguments["answer-ms"].as<int>()};
+    platform.m_loadsPerSecond = arguments["loads-per-second"].as<double>();
+    platform.m_loadsAtOnce = arguments["loads-at-once"].as<int>();
+    return runStandin(io, arguments["listen"].as<std::string>(),
+                      [&](HttpExchange &exchange) { return serve(platform, exchange); });
+}
--- /dev/null
+++ b/standins/service.cpp
@@ -0,0 +1,82 @@
+// Stand-in for a plain service (bookings, stock adjustments, lookups). It counts the runs of each
+// request and can be slow, cut a call before or after running it, or answer another request.
+#include "standin.h"
+
+#include <cxxopts.hpp>
+
+using namespace standin;
+
+namespace {
+
+struct Service
+{
+    std::map<std::string, int> m_runs; // by Request-Id
+    Fault m_fault;
+    Millis m_time = {2};
+};
+
+json::value books(const Service &service)
+{
+    json::object runs;
+    for (const auto &[request, count] : service.m_runs)
+        runs[request] = count;
+    return {{"runs", runs}};
+}
+
+HttpResponse confirm(const std::string &what, int run, const std::string &request)
+{
+    return answer(200, {{"done", what}, {"run", run}}, {{"Request-Id", request}});
+}
+
+asio::awaitable<void> work(Service &service, HttpExchange &exchange)
+{
+    const std::string request = fieldOf(exchange.m_request.m_fields, "Request-Id");
+    if (hits(service.m_fault, "cut-before")) {
+        breakOff(exchange);
+        co_return;
+    }
+    if (hits(service.m_fault, "slow"))
+        co_await pause(service.m_fault.m_time);
+    co_await pause(service.m_time);
+    const int run = ++service.m_runs[request];
+    if (hits(service.m_fault, "cut-after")) {
+        breakOff(exchange);
+        co_return;
+    }
+    const std::string answerTo = hits(service.m_fault, "cross") ? "another" : request;
+    const HttpResponse response = confirm(exchange.m_request.m_target, run, answerTo);
+    co_await sendWhole(exchange, response);
+}
+
+HttpResponse answerSimple(Service &service, const std::string &target)
+{
+    if (target == "/standin/books")
+        return answer(200, books(service));
+    service.m_fault = readFault(*parseTarget(target));
+    return answer(200, {{"mode", service.m_fault.m_mode}});
+}
+
+asio::awaitable<void> serve(Service &service, HttpExchange &exchange)
+{
+    if (!exchange.m_request.m_target.starts_with("/standin/")) {
+        co_await work(service, exchange);
+        co_return;
+    }
+    const HttpResponse response = answerSimple(service, exchange.m_request.m_target);
+    co_await sendWhole(exchange, response);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("standin-service", "Stand-in for a plain service");
+    options.add_options()("listen", "IP:PORT", cxxopts::value<std::string>())(
+        "work-ms", "time of one call", cxxopts::value<int>()->default_value("2"));
+    const auto arguments = options.parse(argc, argv);
+    asio::io_context io(1);
+    Service service;
+    service.m_time = {arguments["work-ms"].as<int>()};
+    return runStandin(io, arguments["listen"].as<std::string>(),
+                      [&](HttpExchange &exchange) { return serve(service, exchange); });
+}
