Score each host once when ranking

Cause: the sort compared hashes made anew at each comparison, about 2 n log n hashes a ranking. Ruled out: the hash itself (xxHash, under 50 ns for such keys).

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -254,15 +254,24 @@
 
 std::vector<Member> rankMembers(std::vector<Member> members, std::string_view key)
 {
-    const auto score = [&](const Member &member) {
-        return stableHash(std::string(key) + "@" + member.m_host.m_text);
+    struct Scored
+    {
+        std::uint64_t m_score = 0;
+        std::size_t m_index = 0;
     };
-    std::sort(members.begin(), members.end(), [&](const Member &a, const Member &b) {
-        const std::uint64_t scoreA = score(a);
-        const std::uint64_t scoreB = score(b);
-        return scoreA != scoreB ? scoreA > scoreB : a.m_host < b.m_host;
+    std::vector<Scored> order;
+    order.reserve(members.size());
+    const std::string prefix = std::string(key) + "@";
+    for (std::size_t i = 0; i < members.size(); ++i)
+        order.push_back({stableHash(prefix + members[i].m_host.m_text), i});
+    std::sort(order.begin(), order.end(), [](const Scored &a, const Scored &b) {
+        return a.m_score != b.m_score ? a.m_score > b.m_score : a.m_index < b.m_index;
     });
-    return members;
+    std::vector<Member> ranked;
+    ranked.reserve(members.size());
+    for (const Scored &scored : order)
+        ranked.push_back(std::move(members[scored.m_index]));
+    return ranked;
 }
 
 std::vector<Member> addressOrder(const std::vector<Member> &live, std::string_view key,
