--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 packages=(build-essential cmake ninja-build ccache git curl
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libxxhash-dev libyaml-cpp-dev
   libcxxopts-dev libeasyloggingpp-dev prometheus-cpp-dev libflatbuffers-dev
-  libcppunit-dev librapidcheck-dev spin clang-format clang-tidy gnuplot-nox)
+  libcppunit-dev librapidcheck-dev spin bc clang-format clang-tidy gnuplot-nox)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f '${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
