--- a/src/process/cellowner.cpp
+++ b/src/process/cellowner.cpp
@@ -1014,13 +1014,11 @@
     return slot.m_phase == SlotPhase::Loaded || (entry && entry->m_ready);
 }
 
-std::unique_ptr<wire::ReplicaEntryT> packReplica(const OwnedCell &cell, const Slot &slot,
-                                                 bool leaving)
+std::unique_ptr<wire::ReplicaEntryT> packReplica(const OwnedCell &cell, const Slot &slot)
 {
     auto replica = std::make_unique<wire::ReplicaEntryT>();
     replica->server = slot.m_server.m_text;
     replica->slot = slot.m_id;
-    replica->leaving = leaving;
     const EngineEntry *entry = entryOf(cell, slot);
     replica->running = entry ? entry->m_running : 0;
     for (const Slot &other : cell.m_record.m_slots) {
@@ -1057,8 +1055,12 @@
             && model && slot.m_version == model->m_version;
         if (!wanted || !isUsable(cell, slot))
             continue;
-        const bool leaving = stateOf(machines, slot.m_server.m_text) != ListedState::Live;
-        auto replica = packReplica(cell, slot, leaving);
+        const ServerSpec *server = findServer(*configuration, slot.m_server);
+        const bool leaving = !server || server->m_leaving
+            || stateOf(machines, slot.m_server.m_text) != ListedState::Live;
+        if (leaving)
+            continue;
+        auto replica = packReplica(cell, slot);
         const auto &adapters = replica->adapters;
         complete = complete || ask.adapter.empty()
             || std::count(adapters.begin(), adapters.end(), ask.adapter) > 0;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -184,7 +184,6 @@
     std::uint64_t m_slot = 0;
     int m_running = 0;
     std::vector<AdapterName> m_adapters;
-    bool m_leaving = false;
     int m_sentSince = 0; // by this host, since the last answer of the owner
 };
 
--- a/src/process/policy.cpp
+++ b/src/process/policy.cpp
@@ -89,10 +89,17 @@
     return a.m_free > b.m_free;
 }
 
+bool isLeaving(const Planner &planner, const ServerName &name)
+{
+    const ServerReport *report = reportOf(*planner.m_input, name);
+    const ServerSpec *server = findServer(configurationOf(planner), name);
+    return !server || server->m_leaving || (report && report->m_leaving);
+}
+
 bool mayTake(const Planner &planner, const ServerSpec &server, const ModelName &model)
 {
     const ServerReport *report = reportOf(*planner.m_input, server.m_name);
-    if (!report || !report->m_reachable || report->m_leaving)
+    if (!report || !report->m_reachable || isLeaving(planner, server.m_name))
         return false;
     return !avoided(*planner.m_input, model, server.m_name, planner.m_time);
 }
@@ -284,7 +291,9 @@
     bool adapterThere = demand.m_adapter.m_text.empty();
     std::optional<Slot> base;
     for (const Slot &slot : planner.m_plan.m_next.m_slots) {
-        if (slot.m_model != demand.m_model || slot.m_phase == SlotPhase::Unloading)
+        const bool stays
+            = slot.m_phase != SlotPhase::Unloading && !isLeaving(planner, slot.m_server);
+        if (slot.m_model != demand.m_model || !stays)
             continue;
         if (slot.m_adapter == demand.m_adapter && !demand.m_adapter.m_text.empty())
             adapterThere = true;
@@ -302,7 +311,8 @@
     }
 }
 
-/// Idle past its keep-alive, of an old version, or of a model no longer published.
+/// Idle past its keep-alive, of an old version, on a leaving server, or of a model no longer
+/// published.
 std::string reasonToSleep(const Planner &planner, const Slot &slot)
 {
     const SlotUse use = useOf(*planner.m_input, slot.m_id);
@@ -313,6 +323,8 @@
         return "for=unpublished";
     if (model->m_version != slot.m_version)
         return "for=old_version";
+    if (isLeaving(planner, slot.m_server))
+        return "for=leaving_server";
     const Millis idle = planner.m_time - use.m_lastUsed;
     if (idle < model->m_keepAlive)
         return {};
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -155,7 +155,6 @@
         replica.m_server.m_text = entry->server;
         replica.m_slot = entry->slot;
         replica.m_running = entry->running;
-        replica.m_leaving = entry->leaving;
         for (const std::string &adapter : entry->adapters)
             replica.m_adapters.push_back({adapter});
         replicas.push_back(std::move(replica));
@@ -293,8 +292,8 @@
         view.m_adapterLoaded = serves(replica, call.m_adapter);
         view.m_sameDataCentre
             = server && server->m_dataCentre == call.m_node->m_settings.m_dataCentre;
-        view.m_leaving = replica.m_leaving || !server || isLeaving(*call.m_node, *server)
-            || !serves(replica, call.m_adapter);
+        view.m_leaving
+            = !server || isLeaving(*call.m_node, *server) || !serves(replica, call.m_adapter);
         views.push_back(view);
     }
     return chooseReplica(views);
--- a/tests/processes/placement.cpp
+++ b/tests/processes/placement.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(platformDownServesLoadedModels);
     CPPUNIT_TEST(fullCellEvictsAndNeverOvercommits);
     CPPUNIT_TEST(restartedEngineIsLoadedAgain);
+    CPPUNIT_TEST(leavingEngineIsEmptiedAndReplaced);
+    CPPUNIT_TEST(ownerKilledWhileAnswersAreLost);
     CPPUNIT_TEST_SUITE_END();
 
     void pausedOwner(bool checksFence)
@@ -176,6 +178,47 @@
         CPPUNIT_ASSERT(eventually(back, {20'000}));
         CPPUNIT_ASSERT_EQUAL(0, overcommits(fleet));
     }
+
+    void leavingEngineIsEmptiedAndReplaced()
+    {
+        Fleet fleet;
+        startFleet(fleet, 3, {{}, {}}, 0);
+        CPPUNIT_ASSERT(served(fleet.m_hosts[0], "before", "tasting-notes"));
+        const std::size_t first = runsAt(fleet.m_engines[0], "before") == 1 ? 0 : 1;
+        const std::string &leaving = fleet.m_engines[first].m_name;
+        const std::string file = writeFile(fleet, "leaving.yaml", deploymentText(fleet, leaving));
+        CPPUNIT_ASSERT_EQUAL(0, control(fleet, {"publish", file}).m_code);
+        int round = 0;
+        const auto elsewhere = [&] {
+            const std::string id = "leaving-" + std::to_string(round++);
+            return served(fleet.m_hosts[1], id, "tasting-notes")
+                && runsAt(fleet.m_engines[first], id) == 0;
+        };
+        CPPUNIT_ASSERT(eventually(elsewhere, {3'000}));
+        CPPUNIT_ASSERT(elsewhere());
+        CPPUNIT_ASSERT_EQUAL(1, mostReplicas(fleet, "tasting-notes"));
+    }
+
+    void ownerKilledWhileAnswersAreLost()
+    {
+        Fleet fleet;
+        EngineShape shape;
+        shape.m_loadMs = 600;
+        startFleet(fleet, 4, {shape, shape}, 0);
+        const std::size_t owner = *ownerOf(fleet);
+        const Process &other = fleet.m_hosts[anotherHost(fleet, owner)];
+        setFault(fleet.m_platform, "mode=lose-answer&count=4");
+        bool first = false;
+        std::thread caller([&] { first = served(other, "first", "tasting-notes"); });
+        eventually([&] { return loadsOf(fleet, "tasting-notes") == 1; }, {3'000});
+        signalProcess(fleet.m_hosts[owner], SIGKILL);
+        caller.join();
+        CPPUNIT_ASSERT(first);
+        CPPUNIT_ASSERT(served(other, "second", "allergens"));
+        CPPUNIT_ASSERT_EQUAL(1, mostReplicas(fleet, "tasting-notes"));
+        CPPUNIT_ASSERT_EQUAL(1, mostReplicas(fleet, "allergens"));
+        CPPUNIT_ASSERT_EQUAL(0, overcommits(fleet));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
--- a/tests/processes/requests.cpp
+++ b/tests/processes/requests.cpp
@@ -37,6 +37,17 @@
         thread.join();
 }
 
+std::size_t homeOf(const Fleet &fleet, const std::string &model)
+{
+    const json::value told
+        = fetchJson(fleet.m_hosts[0].m_main, "/v1/address?service=tasting&model=" + model);
+    const auto name = json::value_to<std::string>(told.at("addresses").as_array()[0].at("host"));
+    std::size_t home = 0;
+    while (fleet.m_hosts[home].m_name != name)
+        ++home;
+    return home;
+}
+
 std::string issueTicket(const Endpoint &host)
 {
     const Reply reply = send(host, "POST", "/v1/tickets", {}, "", {2'000});
@@ -61,6 +72,7 @@
     CPPUNIT_TEST(bookingsRunAtMostOnceThroughKillsAndCuts);
     CPPUNIT_TEST(plannedStopCutsNoRequest);
     CPPUNIT_TEST(killedHomeLosesNoRepeatableRequest);
+    CPPUNIT_TEST(frozenHomeHoldsUpNobodyForLong);
     CPPUNIT_TEST(callerLeavingCancelsTheStream);
     CPPUNIT_TEST(badRequestsGetClearErrors);
     CPPUNIT_TEST_SUITE_END();
@@ -208,22 +220,14 @@
         startFleet(fleet, 3, {{}}, 0);
         CPPUNIT_ASSERT(
             isWholeDraft(draft(fleet.m_hosts[0].m_main, "warm", 2, longDeadline), "warm", 2));
-        const json::value told
-            = fetchJson(fleet.m_hosts[0].m_main, "/v1/address?service=tasting&model=tasting-notes");
-        const auto home
-            = json::value_to<std::string>(told.at("addresses").as_array()[0].at("host"));
-        std::size_t other = 0;
-        while (fleet.m_hosts[other].m_name == home)
-            ++other;
+        const std::size_t home = homeOf(fleet, "tasting-notes");
+        const std::size_t other = (home + 1) % 3;
         Reply reply;
         std::thread caller(
             [&] { reply = draft(fleet.m_hosts[other].m_main, "hard", 400, longDeadline); });
         const auto runs = [&] { return runsAt(fleet.m_engines[0], "hard") > 0; };
         const bool started = eventually(runs, {5'000});
-        for (Process &host : fleet.m_hosts) {
-            if (host.m_name == home)
-                signalProcess(host, SIGKILL);
-        }
+        signalProcess(fleet.m_hosts[home], SIGKILL);
         caller.join();
         CPPUNIT_ASSERT(started);
         // The stream went through the home: it is broken off and says so, never passed as whole.
@@ -238,6 +242,28 @@
         CPPUNIT_ASSERT(served());
     }
 
+    void frozenHomeHoldsUpNobodyForLong()
+    {
+        Fleet fleet;
+        startFleet(fleet, 3, {{}}, 1);
+        CPPUNIT_ASSERT(
+            isWholeDraft(draft(fleet.m_hosts[0].m_main, "warm", 2, longDeadline), "warm", 2));
+        const std::size_t home = homeOf(fleet, "tasting-notes");
+        const std::string ticket = issueTicket(fleet.m_hosts[home].m_main);
+        const Endpoint other = fleet.m_hosts[(home + 1) % 3].m_main;
+        signalProcess(fleet.m_hosts[home], SIGSTOP);
+        const bool whole = isWholeDraft(draft(other, "frozen", 4, longDeadline), "frozen", 4);
+        const Reply booking = book(other, ticket, "frozen-book");
+        signalProcess(fleet.m_hosts[home], SIGCONT);
+        CPPUNIT_ASSERT(whole);
+        CPPUNIT_ASSERT_MESSAGE(booking.m_body, booking.m_run == "unknown");
+        // Woken, the issuer may find the request that reached it; never does it run twice.
+        const auto answered
+            = [&] { return book(fleet.m_hosts[home].m_main, ticket, "frozen-book").m_whole; };
+        CPPUNIT_ASSERT(eventually(answered, {6'000}));
+        CPPUNIT_ASSERT(runsAt(fleet.m_services[0], "frozen-book") <= 1);
+    }
+
     void callerLeavingCancelsTheStream()
     {
         Fleet fleet;
