Split the cell driver by its jobs; one listener and one body reader for both channels

Found on the way: a listener's handler lived in the accept loop's frame while connections referred to it; the listener owns it now and each connection holds the listener.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -28,16 +28,6 @@
     bool m_keepAlive = true;
 };
 
-struct HttpListener
-{
-    tcp::acceptor m_acceptor;
-    std::vector<asio::io_context *> m_ios;
-    HttpHandler m_handler;
-    HttpServerOptions m_options;
-    std::size_t m_next = 0; // of m_ios
-    bool m_stopped = false;
-};
-
 /// A connection to a server; the parser lives as long as one answer.
 struct HttpConnection
 {
@@ -52,11 +42,6 @@
 
 namespace {
 
-std::chrono::milliseconds toChrono(Millis time)
-{
-    return std::chrono::milliseconds(std::max<std::int64_t>(time.m_count, 0));
-}
-
 bool sameName(std::string_view a, std::string_view b)
 {
     return beast::iequals(beast::string_view(a.data(), a.size()),
@@ -79,11 +64,6 @@
     return fields;
 }
 
-tcp::endpoint toTcp(const Endpoint &endpoint)
-{
-    return {asio::ip::make_address(endpoint.m_ip), endpoint.m_port};
-}
-
 /// Tells the exchange when the caller hangs up while its answer is being made.
 void watchCaller(const std::shared_ptr<HttpSession> &session,
                  const std::shared_ptr<HttpExchange> &exchange)
@@ -170,34 +150,20 @@
     co_return exchange->m_ended && session->m_keepAlive;
 }
 
-asio::awaitable<void> serveConnection(std::shared_ptr<HttpListener> listener, tcp::socket socket)
+asio::awaitable<void> serveConnection(std::shared_ptr<TcpListener> listener, tcp::socket socket,
+                                      const HttpHandler &handler, const HttpServerOptions &options)
 {
     auto session = std::make_shared<HttpSession>(
-        HttpSession{beast::tcp_stream(std::move(socket)), {}, listener->m_options, true});
-    boost::system::error_code ignored;
-    session->m_stream.socket().set_option(tcp::no_delay(true), ignored);
-    while (co_await serveOne(session, listener->m_handler)) {
+        HttpSession{beast::tcp_stream(std::move(socket)), {}, options, true});
+    while (co_await serveOne(session, handler)) {
         if (listener->m_stopped)
             break;
     }
-    // Let the peer read the last answer before the socket goes.
+    // Let the caller read the last answer before the socket goes.
+    boost::system::error_code ignored;
     session->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<void> acceptLoop(std::shared_ptr<HttpListener> listener)
-{
-    while (!listener->m_stopped) {
-        asio::io_context &io = *listener->m_ios[listener->m_next++ % listener->m_ios.size()];
-        auto [error, socket] = co_await listener->m_acceptor.async_accept(io, useAwaitable);
-        if (!error)
-            asio::co_spawn(io, serveConnection(listener, std::move(socket)), asio::detached);
-        else if (!listener->m_stopped && error != asio::error::operation_aborted)
-            co_await asio::steady_timer(listener->m_acceptor.get_executor(),
-                                        std::chrono::milliseconds(10))
-                .async_wait(useAwaitable);
-    }
-}
-
 Failure brokenFailure(const boost::system::error_code &error, RunState run)
 {
     Failure failure = makeFailure(ErrorKind::BackendBroken, error.message());
@@ -207,31 +173,6 @@
     return failure;
 }
 
-bool stillOpen(HttpConnection &connection)
-{
-    // An idle connection has nothing to read: readable means closed, or garbage.
-    boost::system::error_code error;
-    auto &socket = connection.m_stream.socket();
-    socket.non_blocking(true, error);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block || error == asio::error::try_again;
-}
-
-HttpConnectionPtr takeIdle(HttpPool &pool, const Endpoint &endpoint)
-{
-    auto &idle = pool.m_idle[endpoint];
-    while (!idle.empty()) {
-        HttpConnectionPtr connection = std::move(idle.back());
-        idle.pop_back();
-        if (stillOpen(*connection)) {
-            connection->m_pooled = true;
-            return connection;
-        }
-    }
-    return nullptr;
-}
-
 bool mayRepeat(const HttpRequest &request)
 {
     return request.m_method == "GET";
@@ -249,17 +190,10 @@
         co_return std::get<Failure>(head);
     HttpResponse response;
     response.m_head = std::move(std::get<HttpHead>(head));
-    while (true) {
-        auto bytes = co_await readSome(*connection, timeout);
-        if (!ok(bytes))
-            co_return std::get<Failure>(bytes);
-        const std::string &text = std::get<std::string>(bytes);
-        if (text.empty())
-            break;
-        response.m_body += text;
-        if (response.m_body.size() > answerLimit)
-            co_return makeFailure(ErrorKind::BackendBroken, "the answer is over the size limit");
-    }
+    auto body = co_await readBody(*connection, timeout, answerLimit);
+    if (!ok(body))
+        co_return std::get<Failure>(body);
+    response.m_body = std::get<std::string>(std::move(body));
     releaseHttp(pool, endpoint, std::move(connection));
     co_return response;
 }
@@ -373,39 +307,21 @@
     exchange.m_session->m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
-Result<std::shared_ptr<HttpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
-                                                 const Endpoint &endpoint, HttpHandler handler,
-                                                 HttpServerOptions options)
+Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
+                                                const Endpoint &endpoint, HttpHandler handler,
+                                                HttpServerOptions options)
 {
-    auto listener = std::make_shared<HttpListener>(
-        HttpListener{tcp::acceptor(*ios.front()), ios, std::move(handler), std::move(options)});
-    const tcp::endpoint at = toTcp(endpoint);
-    boost::system::error_code error;
-    listener->m_acceptor.open(at.protocol(), error);
-    if (!error)
-        listener->m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        listener->m_acceptor.bind(at, error);
-    if (!error)
-        listener->m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return makeFailure(ErrorKind::Internal,
-                           "can't listen on " + toText(endpoint) + ": " + error.message());
-    asio::co_spawn(*ios.front(), acceptLoop(listener), asio::detached);
-    return listener;
-}
-
-void stopListening(HttpListener &listener)
-{
-    listener.m_stopped = true;
-    boost::system::error_code ignored;
-    listener.m_acceptor.close(ignored);
+    const auto serve = [handler = std::move(handler), options = std::move(options)](
+                           std::shared_ptr<TcpListener> listener, tcp::socket socket) {
+        return serveConnection(std::move(listener), std::move(socket), handler, options);
+    };
+    return listenTcp(ios, endpoint, serve);
 }
 
 asio::awaitable<Result<HttpConnectionPtr>> openHttp(HttpPool &pool, const Endpoint &endpoint,
                                                     Millis timeout, bool fresh)
 {
-    HttpConnectionPtr connection = fresh ? nullptr : takeIdle(pool, endpoint);
+    HttpConnectionPtr connection = fresh ? nullptr : takeIdle(pool.m_idle, endpoint);
     if (connection)
         co_return connection;
     connection = std::make_shared<HttpConnection>(*pool.m_io);
@@ -482,6 +398,23 @@
     co_return std::string();
 }
 
+asio::awaitable<Result<std::string>> readBody(HttpConnection &connection, Millis timeout,
+                                              std::size_t limit)
+{
+    std::string body;
+    while (true) {
+        const auto bytes = co_await readSome(connection, timeout);
+        if (!ok(bytes))
+            co_return std::get<Failure>(bytes);
+        const std::string &text = std::get<std::string>(bytes);
+        if (text.empty())
+            co_return body;
+        body += text;
+        if (body.size() > limit)
+            co_return makeFailure(ErrorKind::BackendBroken, "the answer is over the size limit");
+    }
+}
+
 void releaseHttp(HttpPool &pool, const Endpoint &endpoint, HttpConnectionPtr connection)
 {
     const bool reusable = connection->m_whole && connection->m_parser->get().keep_alive();
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "apricot.h"
+#include "connection/tcp.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -14,8 +15,6 @@
 
 namespace apricot {
 
-namespace asio = boost::asio;
-
 struct HttpField
 {
     std::string m_name;
@@ -99,15 +98,10 @@
     std::function<HttpResponse(const Failure &)> m_refuse; // answers malformed requests
 };
 
-struct HttpListener;
-
 /// Listens and serves; connections go round the io_contexts. Failure if the port is taken.
-Result<std::shared_ptr<HttpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
-                                                 const Endpoint &endpoint, HttpHandler handler,
-                                                 HttpServerOptions options);
-
-/// No new connections; those open end after the request they are in.
-void stopListening(HttpListener &listener);
+Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
+                                                const Endpoint &endpoint, HttpHandler handler,
+                                                HttpServerOptions options);
 
 // --- asking ---
 
@@ -134,6 +128,10 @@
 /// The next bytes of the body as they come; empty at its whole end.
 asio::awaitable<Result<std::string>> readSome(HttpConnection &connection, Millis timeout);
 
+/// The rest of the body; a failure if it is larger than the limit, in bytes.
+asio::awaitable<Result<std::string>> readBody(HttpConnection &connection, Millis timeout,
+                                              std::size_t limit);
+
 /// Back to the pool if its answer was read to the end; else closed.
 void releaseHttp(HttpPool &pool, const Endpoint &endpoint, HttpConnectionPtr connection);
 void closeHttp(HttpConnection &connection);
--- a/src/connection/peer.cpp
+++ b/src/connection/peer.cpp
@@ -22,27 +22,8 @@
     bool m_pooled = false; // was idle in the pool before this use
 };
 
-struct PeerListener
-{
-    tcp::acceptor m_acceptor;
-    std::vector<asio::io_context *> m_ios;
-    PeerHandler m_handler;
-    std::size_t m_next = 0; // of m_ios
-    bool m_stopped = false;
-};
-
 namespace {
 
-std::chrono::milliseconds toChrono(Millis time)
-{
-    return std::chrono::milliseconds(std::max<std::int64_t>(time.m_count, 0));
-}
-
-tcp::endpoint toTcp(const Endpoint &endpoint)
-{
-    return {asio::ip::make_address(endpoint.m_ip), endpoint.m_port};
-}
-
 std::uint32_t readLength(const std::string &bytes)
 {
     std::uint32_t length = 0;
@@ -61,53 +42,19 @@
     return bytes;
 }
 
-bool stillOpen(PeerConnection &connection)
-{
-    boost::system::error_code error;
-    auto &socket = connection.m_stream.socket();
-    socket.non_blocking(true, error);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block || error == asio::error::try_again;
-}
-
-PeerConnectionPtr takeIdle(PeerPool &pool, const Endpoint &peer)
-{
-    auto &idle = pool.m_idle[peer];
-    while (!idle.empty()) {
-        PeerConnectionPtr connection = std::move(idle.back());
-        idle.pop_back();
-        if (stillOpen(*connection)) {
-            connection->m_pooled = true;
-            return connection;
-        }
-    }
-    return nullptr;
-}
-
-asio::awaitable<void> servePeer(std::shared_ptr<PeerListener> listener, tcp::socket socket)
+/// Holds the listener, which owns the handler.
+asio::awaitable<void> servePeer(std::shared_ptr<TcpListener> /*listener*/, tcp::socket socket,
+                                const PeerHandler &handler)
 {
     auto connection = std::make_shared<PeerConnection>(std::move(socket));
-    boost::system::error_code ignored;
-    connection->m_stream.socket().set_option(tcp::no_delay(true), ignored);
     while (true) {
         const FramePtr frame = co_await readFrame(*connection, idleLimit);
-        if (!frame || !co_await listener->m_handler(connection, *frame))
+        if (!frame || !co_await handler(connection, *frame))
             break;
     }
     closePeer(*connection);
 }
 
-asio::awaitable<void> acceptLoop(std::shared_ptr<PeerListener> listener)
-{
-    while (!listener->m_stopped) {
-        asio::io_context &io = *listener->m_ios[listener->m_next++ % listener->m_ios.size()];
-        auto [error, socket] = co_await listener->m_acceptor.async_accept(io, useAwaitable);
-        if (!error)
-            asio::co_spawn(io, servePeer(listener, std::move(socket)), asio::detached);
-    }
-}
-
 asio::awaitable<FramePtr> askOnce(PeerPool &pool, const Endpoint &peer, const wire::FrameT &ask,
                                   Millis timeout, PeerConnectionPtr connection)
 {
@@ -171,7 +118,7 @@
 asio::awaitable<Result<PeerConnectionPtr>> openPeer(PeerPool &pool, const Endpoint &peer,
                                                     Millis timeout, bool fresh)
 {
-    PeerConnectionPtr connection = fresh ? nullptr : takeIdle(pool, peer);
+    PeerConnectionPtr connection = fresh ? nullptr : takeIdle(pool.m_idle, peer);
     if (connection)
         co_return connection;
     connection = std::make_shared<PeerConnection>(tcp::socket(*pool.m_io));
@@ -244,32 +191,14 @@
     return token;
 }
 
-Result<std::shared_ptr<PeerListener>> listenPeers(const std::vector<asio::io_context *> &ios,
-                                                  const Endpoint &endpoint, PeerHandler handler)
+Result<std::shared_ptr<TcpListener>> listenPeers(const std::vector<asio::io_context *> &ios,
+                                                 const Endpoint &endpoint, PeerHandler handler)
 {
-    auto listener = std::make_shared<PeerListener>(
-        PeerListener{tcp::acceptor(*ios.front()), ios, std::move(handler)});
-    const tcp::endpoint at = toTcp(endpoint);
-    boost::system::error_code error;
-    listener->m_acceptor.open(at.protocol(), error);
-    if (!error)
-        listener->m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        listener->m_acceptor.bind(at, error);
-    if (!error)
-        listener->m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return makeFailure(ErrorKind::Internal,
-                           "can't listen on " + toText(endpoint) + ": " + error.message());
-    asio::co_spawn(*ios.front(), acceptLoop(listener), asio::detached);
-    return listener;
-}
-
-void stopListening(PeerListener &listener)
-{
-    listener.m_stopped = true;
-    boost::system::error_code ignored;
-    listener.m_acceptor.close(ignored);
+    const auto serve = [handler = std::move(handler)](std::shared_ptr<TcpListener> listener,
+                                                      tcp::socket socket) {
+        return servePeer(std::move(listener), std::move(socket), handler);
+    };
+    return listenTcp(ios, endpoint, serve);
 }
 
 } // namespace apricot
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -64,9 +64,7 @@
 /// Answers one frame, on the connection it came by; false closes the connection.
 using PeerHandler = std::function<asio::awaitable<bool>(PeerConnectionPtr, wire::FrameT &)>;
 
-struct PeerListener;
-Result<std::shared_ptr<PeerListener>> listenPeers(const std::vector<asio::io_context *> &ios,
-                                                  const Endpoint &endpoint, PeerHandler handler);
-void stopListening(PeerListener &listener);
+Result<std::shared_ptr<TcpListener>> listenPeers(const std::vector<asio::io_context *> &ios,
+                                                 const Endpoint &endpoint, PeerHandler handler);
 
 } // namespace apricot
--- /dev/null
+++ b/src/process/celltakeover.cpp
@@ -0,0 +1,194 @@
+// Cells without an owner, and cells handed over. The conditional update decides who owns a cell;
+// membership only finds who should try.
+#include "process/celldriver.h"
+#include "process/log.h"
+
+namespace apricot {
+
+namespace {
+
+constexpr Millis supervisePeriod = {100};
+constexpr Millis ownerlessGrace = {200}; // the best ranked host takes a cell after this...
+constexpr Millis rankDelay = {1'500};    // ...the next one this much later, and so on
+constexpr Millis fateTimeout = {1'000};
+
+void announceClaim(Node &node, const CellRecord &record)
+{
+    const std::lock_guard lock(node.m_members.m_mutex);
+    mergeClaim(node.m_members.m_membership,
+               {record.m_cell, record.m_epoch, record.m_ownerHost, record.m_owner});
+}
+
+void startOwning(Node &node, CellRecord record, std::uint64_t version, Epoch before)
+{
+    auto cell = std::make_shared<OwnedCell>();
+    cell->m_cell = record.m_cell;
+    cell->m_owned = true;
+    cell->m_version = version;
+    cell->m_tokensAt = now(node);
+    for (const Slot &slot : record.m_slots) {
+        cell->m_lastUsed[slot.m_id] = now(node);
+        cell->m_changedAt[slot.m_id] = now(node);
+    }
+    logEvent("cell_taken",
+             {{"cell", record.m_cell.m_text},
+              {"epoch", std::to_string(record.m_epoch.m_value)},
+              {"before", std::to_string(before.m_value)},
+              {"slots", std::to_string(record.m_slots.size())}});
+    announceClaim(node, record);
+    cell->m_record = std::move(record);
+    {
+        const std::lock_guard lock(node.m_cells.m_mutex);
+        node.m_cells.m_cells[cell->m_cell] = cell;
+    }
+    asio::io_context &io = ownThread(node).m_io;
+    spawn(io, watchServers(node, cell));
+    spawn(io, fateLoop(node, cell));
+    spawn(io, planLoop(node, cell));
+}
+
+struct StoredRecord
+{
+    CellRecord m_record;
+    std::uint64_t m_version = 0;
+};
+
+asio::awaitable<Result<StoredRecord>> readRecord(Node &node, CellName cell)
+{
+    const auto read = co_await readObject(platformOf(node), cellKey(cell), 0, {});
+    if (!ok(read))
+        co_return std::get<Failure>(read);
+    const ObjectRead object = std::get<ObjectRead>(read);
+    StoredRecord stored;
+    stored.m_version = object.m_version;
+    stored.m_record.m_cell = cell;
+    if (object.m_version == 0)
+        co_return stored;
+    auto parsed = parseCellRecord(object.m_value);
+    if (!ok(parsed))
+        co_return std::get<Failure>(parsed);
+    stored.m_record = std::get<CellRecord>(std::move(parsed));
+    co_return stored;
+}
+
+bool answers(Node &node, const HostName &host, Incarnation incarnation)
+{
+    const auto member = memberOf(node, host);
+    return member && member->m_incarnation == incarnation && member->m_liveness != Liveness::Dead
+        && !member->m_leaving;
+}
+
+bool hasOwner(Node &node, const CellName &cell)
+{
+    CellClaim claim;
+    {
+        const std::lock_guard lock(node.m_members.m_mutex);
+        claim = node.m_members.m_membership.m_claims[cell];
+    }
+    return claim.m_epoch.m_value > 0 && answers(node, claim.m_host, claim.m_owner);
+}
+
+std::size_t rankFor(Node &node, const CellName &cell)
+{
+    const std::vector<Member> ranked = rankMembers(liveMembersOf(node), "cell:" + cell.m_text);
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+        if (ranked[i].m_host == node.m_settings.m_host)
+            return i;
+    }
+    return ranked.size();
+}
+
+/// Ours to take now: nobody owned it for as long as our rank asks.
+bool isDue(Node &node, const CellName &cell)
+{
+    const bool owned = hasOwner(node, cell);
+    const std::size_t rank = owned ? 0 : rankFor(node, cell);
+    const std::lock_guard lock(node.m_cells.m_mutex);
+    if (owned) {
+        node.m_cells.m_ownerlessSince.erase(cell);
+        return false;
+    }
+    const auto since = node.m_cells.m_ownerlessSince.try_emplace(cell, now(node)).first->second;
+    const Millis wait = ownerlessGrace + rankDelay * static_cast<std::int64_t>(rank);
+    return now(node) - since >= wait;
+}
+
+} // namespace
+
+asio::awaitable<void> takeCell(Node &node, CellName name, bool handedOver)
+{
+    auto read = co_await readRecord(node, name);
+    if (!ok(read))
+        co_return;
+    StoredRecord stored = std::get<StoredRecord>(std::move(read));
+    const Epoch before = stored.m_record.m_epoch;
+    if (!handedOver && before.m_value > 0
+        && answers(node, stored.m_record.m_ownerHost, stored.m_record.m_owner)
+        && stored.m_record.m_owner != node.m_incarnation) {
+        announceClaim(node, stored.m_record); // it has an owner; we had not heard
+        co_return;
+    }
+    CellRecord next = stored.m_record;
+    takeOver(next, node.m_settings.m_host, node.m_incarnation);
+    next.m_lastUpdate = randomId();
+    ObjectWrite write = co_await writeObject(platformOf(node), cellKey(name), writeCellRecord(next),
+                                             stored.m_version);
+    if (write.m_outcome == WriteOutcome::Lost) {
+        const auto again = co_await readRecord(node, name);
+        if (!ok(again) || std::get<StoredRecord>(again).m_record.m_lastUpdate != next.m_lastUpdate)
+            co_return;
+        write = {WriteOutcome::Written, std::get<StoredRecord>(again).m_version};
+    }
+    if (write.m_outcome == WriteOutcome::Written)
+        startOwning(node, std::move(next), write.m_version, before);
+}
+
+asio::awaitable<void> runCells(Node &node)
+{
+    while (!node.m_stopped) {
+        const auto configuration = configurationOf(node);
+        const std::vector<CellName> cells = configuration && node.m_seedsHeard
+            ? cellsOf(*configuration)
+            : std::vector<CellName>();
+        for (const CellName &cell : cells) {
+            const CellPtr owned = ownedCell(node, cell);
+            const bool ours = owned && stillOwned(owned);
+            if (!ours && !node.m_stopping && isDue(node, cell))
+                co_await takeCell(node, cell, false);
+        }
+        co_await sleepFor(supervisePeriod);
+    }
+}
+
+asio::awaitable<void> handOverCells(Node &node)
+{
+    std::vector<CellPtr> cells;
+    {
+        const std::lock_guard lock(node.m_cells.m_mutex);
+        for (const auto &[name, cell] : node.m_cells.m_cells)
+            cells.push_back(cell);
+    }
+    for (const CellPtr &cell : cells) {
+        wire::HandOverT message;
+        {
+            const std::lock_guard lock(cell->m_mutex);
+            if (!cell->m_owned)
+                continue;
+            cell->m_handingOver = true;
+            message.cell = cell->m_cell.m_text;
+            message.epoch = cell->m_record.m_epoch.m_value;
+        }
+        std::vector<Member> successors = liveMembersOf(node);
+        std::erase_if(successors, [&](const Member &member) {
+            return member.m_host == node.m_settings.m_host;
+        });
+        successors = rankMembers(successors, "cell:" + message.cell);
+        if (successors.empty())
+            continue;
+        logEvent("hand_over", {{"cell", message.cell}, {"to", successors.front().m_host.m_text}});
+        co_await callPeer(ownThread(node).m_peers, successors.front().m_peer,
+                          makeFrame(std::move(message)), fateTimeout);
+    }
+}
+
+} // namespace apricot
--- a/src/process/engineclient.cpp
+++ b/src/process/engineclient.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Millis connectTimeout = {1'000};
+constexpr std::size_t replyLimit = 64UL * 1024; // bytes
 
 std::string orderText(const EngineOrder &order)
 {
@@ -26,19 +27,6 @@
     return json::serialize(object);
 }
 
-asio::awaitable<Result<std::string>> readBody(HttpConnection &connection, Millis timeout)
-{
-    std::string body;
-    while (true) {
-        const auto bytes = co_await readSome(connection, timeout);
-        if (!ok(bytes))
-            co_return std::get<Failure>(bytes);
-        if (std::get<std::string>(bytes).empty())
-            co_return body;
-        body += std::get<std::string>(bytes);
-    }
-}
-
 OrderReply readReply(const std::string &body)
 {
     OrderReply reply;
@@ -111,7 +99,7 @@
         closeHttp(*connection);
         co_return reply;
     }
-    const auto body = co_await readBody(*connection, connectTimeout);
+    const auto body = co_await readBody(*connection, connectTimeout, replyLimit);
     closeHttp(*connection);
     if (ok(body))
         co_return readReply(std::get<std::string>(body));
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -117,13 +117,13 @@
         options);
     if (!ok(callers))
         return std::get<Failure>(callers);
-    node.m_callers = std::get<std::shared_ptr<HttpListener>>(callers);
+    node.m_callers = std::get<std::shared_ptr<TcpListener>>(callers);
     auto admin = listenHttp(
         {contexts.front()}, node.m_settings.m_admin,
         [&node](HttpExchange &exchange) { return serveAdmin(node, exchange); }, options);
     if (!ok(admin))
         return std::get<Failure>(admin);
-    node.m_admin = std::get<std::shared_ptr<HttpListener>>(admin);
+    node.m_admin = std::get<std::shared_ptr<TcpListener>>(admin);
     auto peers = listenPeers(
         contexts, node.m_settings.m_peer,
         [&node](PeerConnectionPtr connection, wire::FrameT &frame) -> asio::awaitable<bool> {
@@ -132,7 +132,7 @@
         });
     if (!ok(peers))
         return std::get<Failure>(peers);
-    node.m_peers = std::get<std::shared_ptr<PeerListener>>(peers);
+    node.m_peers = std::get<std::shared_ptr<TcpListener>>(peers);
     return {};
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -251,9 +251,9 @@
     std::atomic<bool> m_stopping = false;   // leaving: in no new address answer
     std::atomic<bool> m_stopped = false;    // loops end
     std::atomic<bool> m_seedsHeard = false; // a seed answered, or there is none
-    std::shared_ptr<HttpListener> m_callers;
-    std::shared_ptr<HttpListener> m_admin;
-    std::shared_ptr<PeerListener> m_peers;
+    std::shared_ptr<TcpListener> m_callers;
+    std::shared_ptr<TcpListener> m_admin;
+    std::shared_ptr<TcpListener> m_peers;
 };
 
 /// A node that is not yet listening. Incarnations grow with wall-clock time.
@@ -291,7 +291,7 @@
 asio::awaitable<void> runCatchUp(Node &node);
 wire::DocumentTellT answerDocument(Node &node, const wire::DocumentAskT &ask);
 
-/// cellowner.cpp: takes cells that have no owner, plans, orders.
+/// celltakeover.cpp, cellask.cpp, orders.cpp: see celldriver.h.
 asio::awaitable<void> runCells(Node &node);
 asio::awaitable<wire::WantTellT> answerWant(Node &node, IoThread &thread,
                                             const wire::WantAskT &ask);
--- a/src/request/plain.cpp
+++ b/src/request/plain.cpp
@@ -31,17 +31,10 @@
         co_return std::get<Failure>(head);
     HttpResponse response;
     response.m_head = std::get<HttpHead>(std::move(head));
-    while (true) {
-        const auto bytes = co_await readSome(connection, leftOf(call));
-        if (!ok(bytes))
-            co_return std::get<Failure>(bytes);
-        const std::string &text = std::get<std::string>(bytes);
-        if (text.empty())
-            break;
-        response.m_body += text;
-        if (response.m_body.size() > answerLimit)
-            co_return makeFailure(ErrorKind::BackendBroken, "the answer is over the size limit");
-    }
+    auto body = co_await readBody(connection, leftOf(call), answerLimit);
+    if (!ok(body))
+        co_return std::get<Failure>(body);
+    response.m_body = std::get<std::string>(std::move(body));
     const std::string answered = fieldOf(response.m_head.m_fields, "Request-Id");
     if (answered != call.m_id)
         co_return makeFailure(ErrorKind::CrossedAnswer, "it answered '" + answered + "'");
