A model used by short requests stays loaded

Cause: homes told the owner only of requests running at the moment they asked, about once a second; a model kept busy by requests of a few milliseconds looked idle and was unloaded after its keep-alive, again and again.

--- a/src/process/cellask.cpp
+++ b/src/process/cellask.cpp
@@ -14,8 +14,7 @@
     const Millis time = now(node);
     for (const auto &use : ask.uses) {
         cell.m_active[use->slot][ask.host + "/" + ask.adapter] = {use->active, time};
-        if (use->active > 0)
-            cell.m_lastUsed[use->slot] = time;
+        cell.m_lastUsed[use->slot] = time; // homes name only slots used since they last asked
     }
     if (ask.waiting <= 0)
         return;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -205,7 +205,7 @@
     Millis m_silentSince; // the owner didn't answer since; zero: it does
     std::vector<ModelWaiterPtr> m_waiters;
     bool m_pursued = false;                // a coroutine is asking the owner
-    std::map<std::uint64_t, int> m_active; // our requests, by slot
+    std::map<std::uint64_t, int> m_active; // our requests, by slot; 0: used since the last ask
     Millis m_lastRequest;
 };
 
--- a/src/process/policy.cpp
+++ b/src/process/policy.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis comeBackForRoom = {2'000}; // ms, when no server can take a model
+constexpr Millis useReportLag = {1'500};    // ms, homes tell of uses about once a second
 constexpr Millis evictionRest = {500}; // ms a slot must have been idle to be evicted for another
 
 /// One pass of planning: the input, and the record as changed so far.
@@ -326,7 +327,7 @@
     if (isLeaving(planner, slot.m_server))
         return "for=leaving_server";
     const Millis idle = planner.m_time - use.m_lastUsed;
-    if (idle < model->m_keepAlive)
+    if (idle < model->m_keepAlive + useReportLag)
         return {};
     return "for=idle idle_ms=" + std::to_string(idle.m_count);
 }
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -209,7 +209,7 @@
     ask.adapter = key.m_adapter.m_text;
     ModelShard &shard = shardFor(node, key);
     const std::lock_guard lock(shard.m_mutex);
-    const ModelState &state = shard.m_models[key];
+    ModelState &state = shard.m_models[key];
     ask.waiting = static_cast<int>(state.m_waiters.size());
     auto urgency = Urgency::CanWait;
     Millis last = now(node);
@@ -226,6 +226,8 @@
         use->active = active;
         ask.uses.push_back(std::move(use));
     }
+    // Told once: a slot whose last request has ended is named this time and not again.
+    std::erase_if(state.m_active, [](const auto &entry) { return entry.second <= 0; });
     return ask;
 }
 
@@ -235,7 +237,6 @@
     ModelShard &shard = shardFor(node, key);
     const std::lock_guard lock(shard.m_mutex);
     ModelState &state = shard.m_models[key];
-    std::erase_if(state.m_active, [](const auto &entry) { return entry.second <= 0; });
     if (!state.m_waiters.empty() || !state.m_active.empty())
         return true;
     state.m_pursued = false;
--- a/tests/processes/placement.cpp
+++ b/tests/processes/placement.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(restartedEngineIsLoadedAgain);
     CPPUNIT_TEST(leavingEngineIsEmptiedAndReplaced);
     CPPUNIT_TEST(ownerKilledWhileAnswersAreLost);
+    CPPUNIT_TEST(modelInUseStaysLoaded);
     CPPUNIT_TEST_SUITE_END();
 
     void pausedOwner(bool checksFence)
@@ -199,6 +200,33 @@
         CPPUNIT_ASSERT_EQUAL(1, mostReplicas(fleet, "tasting-notes"));
     }
 
+    void modelInUseStaysLoaded()
+    {
+        Fleet fleet;
+        startFleet(fleet, 3, {{}}, 0);
+        const std::string file = writeFile(fleet, "brief.yaml", R"(service: tasting
+work: [{name: draft, idempotent: true}]
+models: [{name: tasting-notes, memory-mb: 16000, load-ms: 300, keep-alive-ms: 1000}]
+)");
+        CPPUNIT_ASSERT_EQUAL(0, control(fleet, {"publish", file}).m_code);
+        // Short requests, so that none happens to run when the home reports.
+        constexpr int requests = 40;
+        int number = 0;
+        const auto allSent = [&] {
+            const std::string id = "use-" + std::to_string(number++);
+            draft(fleet.m_hosts[0].m_main, id, 1, longDeadline);
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            return number >= requests;
+        };
+        CPPUNIT_ASSERT(eventually(allSent, {30'000}));
+        CPPUNIT_ASSERT_EQUAL(1, loadsOf(fleet, "tasting-notes"));
+        const auto asleep = [&] {
+            const json::value report = fetchJson(fleet.m_engines[0].m_main, "/report");
+            return report.at("loaded").as_array().empty();
+        };
+        CPPUNIT_ASSERT_MESSAGE("unused, it falls asleep", eventually(asleep, {15'000}));
+    }
+
     void ownerKilledWhileAnswersAreLost()
     {
         Fleet fleet;
--- a/tests/processes/requests.cpp
+++ b/tests/processes/requests.cpp
@@ -31,6 +31,7 @@
 void inParallel(int threads, const std::function<void(int)> &work)
 {
     std::vector<std::thread> running;
+    running.reserve(static_cast<std::size_t>(threads));
     for (int i = 0; i < threads; ++i)
         running.emplace_back(work, i);
     for (std::thread &thread : running)
--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -170,7 +170,7 @@
 {
     Network network;
     for (int i = 0; i < members; ++i) {
-        const auto seed = static_cast<std::uint64_t>(i + 1);
+        const auto seed = static_cast<std::uint64_t>(i) + 1;
         network.m_hosts.push_back(makeMembership(makeMember(i), seed));
         for (int j = 0; j < members; ++j)
             mergeMember(network.m_hosts.back(), makeMember(j), network.m_time);
@@ -318,6 +318,7 @@
 void measureAddress(int members)
 {
     std::vector<Member> live;
+    live.reserve(static_cast<std::size_t>(members));
     for (int i = 0; i < members; ++i)
         live.push_back(makeMember(i));
     const double each = microseconds([&] { addressOrder(live, "model:m", 1, {"dc1"}, 4); }, 500);
