Never call a request unrun after a retry whose first attempt may have run

Cause: an idempotent request whose first attempt broke after it was sent was tried again; when the retry was refused unsent, the answer carried the retry's run state, not-run. Ruled out: requests that may not be repeated (they have no second attempt after the first byte). Before/after: retriedRequestIsNotCalledUnrun against the daemon before: no_backend_server with run not-run, though the stand-in had run it; now unknown. The same holds for models and for a home that died with the request. Conclusion: a call remembers whether any attempt may have run; the last word goes through that.

--- a/src/request/call.h
+++ b/src/request/call.h
@@ -36,8 +36,9 @@
     bool m_callerGone = false;
     std::function<void()> m_onCallerGone; // interrupts whatever the call waits for
     RunState m_run = RunState::NotRun;    // as known so far
-    std::string m_keptBody;               // of a whole answer, for its ticket
-    unsigned m_status = 0;                // of the answer given
+    bool m_mayHaveRun = false; // an attempt got far enough: no later refusal may say not-run
+    std::string m_keptBody;    // of a whole answer, for its ticket
+    unsigned m_status = 0;     // of the answer given
 };
 
 /// Nothing if the call was answered; else why not, and what is known of the run. If
@@ -68,6 +69,9 @@
 /// The work itself, wherever it belongs. serve.cpp.
 asio::awaitable<CallEnd> runCall(Call &call);
 
+/// An attempt failed: remember whether the request may have run by it.
+void noteAttempt(Call &call, const Failure &failure);
+
 /// Sends a whole answer and notes it.
 asio::awaitable<CallEnd> answerWhole(Call &call, HttpResponse response);
 
--- a/src/request/forward.cpp
+++ b/src/request/forward.cpp
@@ -170,6 +170,7 @@
         co_return end;
     }
     closePeer(*connection);
+    noteAttempt(call, *end);
     // What may be repeated goes on here, as long as nothing of the answer is out.
     const bool repeatable = !call.m_ticket && call.m_work.m_idempotent;
     if (repeatable && !call.m_answer.m_begun && end->m_kind == ErrorKind::BackendBroken)
--- a/src/request/plain.cpp
+++ b/src/request/plain.cpp
@@ -114,6 +114,7 @@
             co_return co_await answerWhole(call, passOn(response));
         }
         last = std::get<Failure>(answer);
+        noteAttempt(call, last);
         if (!mayRepeat(call, last))
             break;
     }
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -590,6 +590,7 @@
         if (!end)
             co_return end;
         last = *end;
+        noteAttempt(call, last);
         relay.m_cutter = {};
         logEvent("attempt_failed",
                  {{"request", call.m_id},
--- a/src/request/serve.cpp
+++ b/src/request/serve.cpp
@@ -328,6 +328,29 @@
         call.m_onCallerGone();
 }
 
+asio::awaitable<CallEnd> runWhereItBelongs(Call &call)
+{
+    constexpr double retryShare = 0.1;
+    constexpr double retryMost = 50;
+    {
+        RetryBudget &budget = call.m_node->m_retries;
+        const std::lock_guard lock(budget.m_mutex);
+        budget.m_tokens = std::min(retryMost, budget.m_tokens + retryShare);
+    }
+    const auto home = otherHome(call);
+    if (home) {
+        countForward(call.m_node->m_metrics);
+        CallEnd end = co_await runOnHost(call, *home);
+        const bool mayRunHere = end && !call.m_answer.m_begun && !call.m_callerGone
+            && end->m_kind == ErrorKind::NotReady;
+        if (!mayRunHere)
+            co_return end;
+    }
+    if (call.m_service->m_kind == ServiceKind::Plain)
+        co_return co_await runOnPlain(call);
+    co_return co_await runOnModel(call);
+}
+
 } // namespace
 
 Millis leftOf(const Call &call)
@@ -388,27 +411,18 @@
     co_return std::nullopt;
 }
 
+void noteAttempt(Call &call, const Failure &failure)
+{
+    call.m_mayHaveRun = call.m_mayHaveRun || failure.m_run != RunState::NotRun;
+}
+
 asio::awaitable<CallEnd> runCall(Call &call)
 {
-    constexpr double retryShare = 0.1;
-    constexpr double retryMost = 50;
-    {
-        RetryBudget &budget = call.m_node->m_retries;
-        const std::lock_guard lock(budget.m_mutex);
-        budget.m_tokens = std::min(retryMost, budget.m_tokens + retryShare);
-    }
-    const auto home = otherHome(call);
-    if (home) {
-        countForward(call.m_node->m_metrics);
-        CallEnd end = co_await runOnHost(call, *home);
-        const bool mayRunHere = end && !call.m_answer.m_begun && !call.m_callerGone
-            && end->m_kind == ErrorKind::NotReady;
-        if (!mayRunHere)
-            co_return end;
-    }
-    if (call.m_service->m_kind == ServiceKind::Plain)
-        co_return co_await runOnPlain(call);
-    co_return co_await runOnModel(call);
+    CallEnd end = co_await runWhereItBelongs(call);
+    const bool claimsTooMuch = end && end->m_run == RunState::NotRun && call.m_mayHaveRun;
+    if (claimsTooMuch)
+        end->m_run = RunState::Unknown;
+    co_return end;
 }
 
 asio::awaitable<void> serveCaller(Node &node, IoThread &thread, HttpExchange &exchange)
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -39,6 +39,8 @@
         co_await pause(service.m_fault.m_time);
     co_await pause(service.m_time);
     const int run = ++service.m_runs[request];
+    if (hits(service.m_fault, "die-after"))
+        std::_Exit(0);
     if (hits(service.m_fault, "cut-after")) {
         breakOff(exchange);
         co_return;
--- a/tests/processes/requests.cpp
+++ b/tests/processes/requests.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(burstAtManyHostsLoadsOnce);
     CPPUNIT_TEST(crossedAndCutAnswersReachNobodyElse);
     CPPUNIT_TEST(bookingsRunAtMostOnceThroughKillsAndCuts);
+    CPPUNIT_TEST(retriedRequestIsNotCalledUnrun);
     CPPUNIT_TEST(plannedStopCutsNoRequest);
     CPPUNIT_TEST(killedHomeLosesNoRepeatableRequest);
     CPPUNIT_TEST(frozenHomeHoldsUpNobodyForLong);
@@ -176,6 +177,18 @@
         CPPUNIT_ASSERT_MESSAGE("most bookings are served", served > bookings / 2);
     }
 
+    void retriedRequestIsNotCalledUnrun()
+    {
+        Fleet fleet;
+        startFleet(fleet, 1, {{}}, 1);
+        // It runs, then the service dies: the retry is refused, but the request did run.
+        setFault(fleet.m_services[0], "mode=die-after&count=1");
+        const Reply reply = send(fleet.m_hosts[0].m_main, "POST", "/v1/services/bookings/lookup",
+                                 {{"Request-Id", "retried"}}, "{}", {5'000});
+        CPPUNIT_ASSERT(reply.m_whole && reply.m_status != 200);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.m_body, std::string("unknown"), reply.m_run);
+    }
+
     void plannedStopCutsNoRequest()
     {
         Fleet fleet;
