Decide in one place whether a server is leaving; drop dead members

Cause: reading the whole change: 'leaving' was worked out in serve.cpp, cellask.cpp and the planning input, each a little differently, and the router copied the machine list for each replica it scored. CopyFate, ModelState::m_lastRequest and ModelWaiter::m_adapter had no reader. A process test was named as if a killed home lost no request; it checks, as before, that a broken stream says so and is never passed as whole, and is named so now. Its assertions are unchanged. Conclusion: isLeaving(server, list) is the one rule; a routing decision takes the list once.

--- a/src/apricot.h
+++ b/src/apricot.h
@@ -453,6 +453,9 @@
 Result<MachineList> parseMachineList(std::string_view json, std::uint64_t number);
 ListedState stateOf(const MachineList &list, std::string_view name);
 
+/// The list or an operator wants the server empty, or it is no longer published (null).
+bool isLeaving(const ServerSpec *server, const MachineList &list);
+
 /// What a tick wants sent.
 struct ProbePlan
 {
@@ -556,15 +559,6 @@
 std::string writeCellRecord(const CellRecord &record);
 Result<CellRecord> parseCellRecord(std::string_view json);
 
-/// How an order's copy came to be resolved.
-enum class CopyFate : std::uint8_t {
-    Answered,    // the engine's answer reached the sender
-    NeverSent,   // its sender confirms that it wrote nothing
-    SenderGone,  // its sender's run is over and what it wrote is drained
-    FencedOff,   // the engine took an order or a fence with a larger number
-    EngineReset, // the engine process restarted
-};
-
 /// What an engine's word on a slot amounts to.
 enum class EngineSays : std::uint8_t { Nothing, Loaded, Absent };
 
--- a/src/process/cellask.cpp
+++ b/src/process/cellask.cpp
@@ -83,10 +83,7 @@
             && model && slot.m_version == model->m_version;
         if (!wanted || !isUsable(cell, slot))
             continue;
-        const ServerSpec *server = findServer(*configuration, slot.m_server);
-        const bool leaving = !server || server->m_leaving
-            || stateOf(machines, slot.m_server.m_text) != ListedState::Live;
-        if (leaving)
+        if (isLeaving(findServer(*configuration, slot.m_server), machines))
             continue;
         auto replica = packReplica(cell, slot);
         const auto &adapters = replica->adapters;
--- a/src/process/cellowner.cpp
+++ b/src/process/cellowner.cpp
@@ -94,7 +94,7 @@
     const MachineList machines = machinesOf(node);
     for (auto &[server, view] : cell.m_engines) {
         view.m_report.m_reachable = view.m_report.m_reachable && time - view.m_asked <= reportLife;
-        view.m_report.m_leaving = stateOf(machines, server.m_text) != ListedState::Live;
+        view.m_report.m_leaving = isLeaving(findServer(configuration, server), machines);
         input.m_reports.push_back(view.m_report);
     }
     input.m_uses = usesOf(cell, time);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -190,7 +190,6 @@
 struct ModelWaiter
 {
     WaiterPtr m_waiter;
-    AdapterName m_adapter;
     Urgency m_urgency = Urgency::Normal;
     Millis m_deadline;
     std::optional<Failure> m_failure; // set: refused
@@ -206,7 +205,6 @@
     std::vector<ModelWaiterPtr> m_waiters;
     bool m_pursued = false;                // a coroutine is asking the owner
     std::map<std::uint64_t, int> m_active; // our requests, by slot; 0: used since the last ask
-    Millis m_lastRequest;
 };
 
 constexpr std::size_t shardCount = 16;
--- a/src/process/policy.cpp
+++ b/src/process/policy.cpp
@@ -94,7 +94,7 @@
 {
     const ServerReport *report = reportOf(*planner.m_input, name);
     const ServerSpec *server = findServer(configurationOf(planner), name);
-    return !server || server->m_leaving || (report && report->m_leaving);
+    return isLeaving(server, {}) || (report && report->m_leaving);
 }
 
 bool mayTake(const Planner &planner, const ServerSpec &server, const ModelName &model)
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -83,7 +83,4 @@
 /// True if a retry is within the node's budget; takes it.
 bool takeRetry(Node &node);
 
-/// The platform's list or an operator wants the server empty.
-bool isLeaving(Node &node, const ServerSpec &server);
-
 } // namespace apricot
--- a/src/request/plain.cpp
+++ b/src/request/plain.cpp
@@ -98,7 +98,8 @@
     Node &node = *call.m_node;
     std::vector<ServerSpec> servers = plainServerOrder(
         *call.m_configuration, call.m_service->m_name, node.m_settings.m_dataCentre, call.m_id);
-    std::erase_if(servers, [&](const ServerSpec &server) { return isLeaving(node, server); });
+    const MachineList machines = machinesOf(node);
+    std::erase_if(servers, [&](const ServerSpec &server) { return isLeaving(&server, machines); });
     Failure last
         = makeFailure(ErrorKind::NoBackendServer, "none is published or all are leaving", {1'000});
     for (int tries = 0; tries < mostAttempts && !servers.empty(); ++tries) {
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -282,6 +282,7 @@
 
 RouteChoice chooseIn(const Call &call, const ModelState &state)
 {
+    const MachineList machines = machinesOf(*call.m_node);
     std::vector<ReplicaView> views;
     for (const ReplicaEntry &replica : state.m_replicas) {
         const ServerSpec *server = findServer(*call.m_configuration, replica.m_server);
@@ -293,8 +294,7 @@
         view.m_adapterLoaded = serves(replica, call.m_adapter);
         view.m_sameDataCentre
             = server && server->m_dataCentre == call.m_node->m_settings.m_dataCentre;
-        view.m_leaving
-            = !server || isLeaving(*call.m_node, *server) || !serves(replica, call.m_adapter);
+        view.m_leaving = isLeaving(server, machines) || !serves(replica, call.m_adapter);
         views.push_back(view);
     }
     return chooseReplica(views);
@@ -345,7 +345,6 @@
     ModelShard &shard = shardFor(node, keyOf(call));
     const std::lock_guard lock(shard.m_mutex);
     ModelState &state = shard.m_models[keyOf(call)];
-    state.m_lastRequest = now(node);
     Entry entry;
     entry.m_chosen = chooseNow(call, state);
     if (!entry.m_chosen) {
@@ -359,7 +358,6 @@
             return entry;
         entry.m_waiter = std::make_shared<ModelWaiter>();
         entry.m_waiter->m_waiter = std::make_shared<Waiter>(call.m_thread->m_io);
-        entry.m_waiter->m_adapter = call.m_adapter;
         entry.m_waiter->m_urgency = call.m_work.m_urgency;
         entry.m_waiter->m_deadline = call.m_deadline;
         state.m_waiters.push_back(entry.m_waiter);
--- a/src/request/serve.cpp
+++ b/src/request/serve.cpp
@@ -368,11 +368,6 @@
     return true;
 }
 
-bool isLeaving(Node &node, const ServerSpec &server)
-{
-    return server.m_leaving || stateOf(machinesOf(node), server.m_name.m_text) != ListedState::Live;
-}
-
 HttpResponse refusalOf(const Call &call, const Failure &failure)
 {
     const ErrorAnswer &row = answerFor(failure.m_kind);
--- a/src/version/machines.cpp
+++ b/src/version/machines.cpp
@@ -52,4 +52,10 @@
     return ListedState::Live;
 }
 
+bool isLeaving(const ServerSpec *server, const MachineList &list)
+{
+    return !server || server->m_leaving
+        || stateOf(list, server->m_name.m_text) != ListedState::Live;
+}
+
 } // namespace apricot
--- a/tests/processes/requests.cpp
+++ b/tests/processes/requests.cpp
@@ -73,7 +73,7 @@
     CPPUNIT_TEST(bookingsRunAtMostOnceThroughKillsAndCuts);
     CPPUNIT_TEST(retriedRequestIsNotCalledUnrun);
     CPPUNIT_TEST(plannedStopCutsNoRequest);
-    CPPUNIT_TEST(killedHomeLosesNoRepeatableRequest);
+    CPPUNIT_TEST(killedHomeIsNeverPassedAsWhole);
     CPPUNIT_TEST(frozenHomeHoldsUpNobodyForLong);
     CPPUNIT_TEST(callerLeavingCancelsTheStream);
     CPPUNIT_TEST(badRequestsGetClearErrors);
@@ -228,7 +228,7 @@
         CPPUNIT_ASSERT_EQUAL(0, cut.load());
     }
 
-    void killedHomeLosesNoRepeatableRequest()
+    void killedHomeIsNeverPassedAsWhole()
     {
         Fleet fleet;
         startFleet(fleet, 3, {{}}, 0);
