Gateway: the whole path on the users' machines, through the adapter in platform/

Cause: nothing of ours ran there. The own program's request path reads its own header fields between decisions, so it can't serve another protocol. New: src/gateway.h (types and decisions), one process a host (apricotgw), the adapter in platform/ behind one struct of functions (Protocol), the settings by a template, deploy/system.toml. Ruled out: teaching serve.cpp a second protocol (tickets, homes and host-to-host forwarding have no user there).

--- a/src/apricot.h
+++ b/src/apricot.h
@@ -128,7 +128,8 @@
 // 2. Clock
 // ---------------------------------------------------------------------------------------------
 
-/// The one clock. Zero-initialized it reads the machine's monotonic clock; with m_manual set it
+/// The one clock. Zero-initialized it reads the machine's monotonic clock, which also counts the
+/// time that the machine was suspended; with m_manual set it
 /// stands still until a test or the replay moves m_now.
 struct Clock
 {
@@ -148,6 +149,7 @@
     None,
     BadRequest,
     UnknownService,
+    UnknownRoute,
     UnknownModel,
     UnknownAdapter,
     UnknownWork,
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::size_t readChunkSize = 16UL * 1024;       // bytes
 constexpr std::size_t answerLimit = 8UL * 1024 * 1024;   // bytes of an answer read whole
-constexpr std::size_t headLimit = 16UL * 1024;           // bytes of a head
 constexpr std::size_t swallowLimit = 64UL * 1024 * 1024; // bytes read after a refusal
 constexpr Millis swallowTime = {2'000};
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
@@ -24,7 +23,7 @@
 {
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    HttpServerOptions m_options;
+    std::shared_ptr<const HttpServerOptions> m_options;
     bool m_keepAlive = true;
 };
 
@@ -38,6 +37,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_pooled = false; // was idle in the pool before this use
     bool m_whole = false;  // the answer was read to its end
+    std::chrono::steady_clock::time_point m_idleUntil; // valid in the pool
 };
 
 namespace {
@@ -116,12 +116,26 @@
     }
 }
 
+/// Waits for the first bytes of a request; false if none came in time.
+asio::awaitable<bool> waitForBytes(HttpSession &session)
+{
+    if (session.m_buffer.size() > 0)
+        co_return true;
+    session.m_stream.expires_after(toChrono(session.m_options->m_idleTimeout));
+    const auto [error, count] = co_await session.m_stream.async_read_some(
+        session.m_buffer.prepare(readChunkSize), useAwaitable);
+    session.m_buffer.commit(count);
+    co_return !error;
+}
+
 asio::awaitable<bool> serveOne(std::shared_ptr<HttpSession> session, const HttpHandler &handler)
 {
     http::request_parser<http::string_body> parser;
-    parser.body_limit(session->m_options.m_bodyLimit);
-    parser.header_limit(headLimit);
-    session->m_stream.expires_after(toChrono(session->m_options.m_idleTimeout));
+    parser.body_limit(session->m_options->m_bodyLimit);
+    parser.header_limit(static_cast<std::uint32_t>(session->m_options->m_headLimit));
+    if (!co_await waitForBytes(*session))
+        co_return false;
+    session->m_stream.expires_after(toChrono(session->m_options->m_headTimeout));
     const auto [error, bytes]
         = co_await http::async_read(session->m_stream, session->m_buffer, parser, useAwaitable);
     session->m_stream.expires_never();
@@ -129,8 +143,8 @@
     exchange->m_session = session.get();
     if (error) {
         session->m_keepAlive = false;
-        if (isHttpError(error) && session->m_options.m_refuse) {
-            const HttpResponse refusal = session->m_options.m_refuse(requestFailure(error));
+        if (isHttpError(error) && session->m_options->m_refuse) {
+            const HttpResponse refusal = session->m_options->m_refuse(requestFailure(error));
             co_await sendWhole(*exchange, refusal);
             co_await swallowRest(*session);
         }
@@ -151,10 +165,11 @@
 }
 
 asio::awaitable<void> serveConnection(std::shared_ptr<TcpListener> listener, tcp::socket socket,
-                                      const HttpHandler &handler, const HttpServerOptions &options)
+                                      const HttpHandler &handler,
+                                      std::shared_ptr<const HttpServerOptions> options)
 {
     auto session = std::make_shared<HttpSession>(
-        HttpSession{beast::tcp_stream(std::move(socket)), {}, options, true});
+        HttpSession{beast::tcp_stream(std::move(socket)), {}, std::move(options), true});
     while (co_await serveOne(session, handler)) {
         if (listener->m_stopped)
             break;
@@ -209,6 +224,21 @@
     return {};
 }
 
+void dropHopFields(std::vector<HttpField> &fields)
+{
+    static const std::vector<std::string> always
+        = {"Connection",          "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+           "Transfer-Encoding",   "Upgrade",    "Content-Length",   "Expect", "Proxy-Authenticate",
+           "Proxy-Authorization", "Close"};
+    const std::string named = fieldOf(fields, "Connection");
+    std::erase_if(fields, [&](const HttpField &field) {
+        const bool hop = std::any_of(always.begin(), always.end(), [&](const std::string &name) {
+            return sameName(field.m_name, name);
+        });
+        return hop || (!named.empty() && http::token_list(named).exists(field.m_name));
+    });
+}
+
 void addField(std::vector<HttpField> &fields, std::string name, std::string value)
 {
     HttpField field;
@@ -248,7 +278,7 @@
     message.keep_alive(session.m_keepAlive);
     message.prepare_payload();
     exchange.m_begun = true;
-    session.m_stream.expires_after(toChrono(session.m_options.m_writeTimeout));
+    session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
     const auto [error, bytes] = co_await http::async_write(session.m_stream, message, useAwaitable);
     session.m_stream.expires_never();
     exchange.m_ended = !error;
@@ -268,7 +298,7 @@
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
     exchange.m_begun = true;
-    session.m_stream.expires_after(toChrono(session.m_options.m_writeTimeout));
+    session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
     const auto [error, bytes]
         = co_await http::async_write_header(session.m_stream, serializer, useAwaitable);
     session.m_stream.expires_never();
@@ -281,7 +311,7 @@
     if (bytes.empty())
         co_return !exchange.m_callerGone;
     HttpSession &session = *exchange.m_session;
-    session.m_stream.expires_after(toChrono(session.m_options.m_writeTimeout));
+    session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
     const auto chunk = http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
     const auto [error, count] = co_await asio::async_write(session.m_stream, chunk, useAwaitable);
     session.m_stream.expires_never();
@@ -292,7 +322,7 @@
 asio::awaitable<bool> endStream(HttpExchange &exchange)
 {
     HttpSession &session = *exchange.m_session;
-    session.m_stream.expires_after(toChrono(session.m_options.m_writeTimeout));
+    session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
     const auto [error, count]
         = co_await asio::async_write(session.m_stream, http::make_chunk_last(), useAwaitable);
     session.m_stream.expires_never();
@@ -310,6 +340,14 @@
 Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
                                                 const Endpoint &endpoint, HttpHandler handler,
                                                 HttpServerOptions options)
+{
+    return listenHttp(ios, endpoint, std::move(handler),
+                      std::make_shared<const HttpServerOptions>(std::move(options)));
+}
+
+Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
+                                                const Endpoint &endpoint, HttpHandler handler,
+                                                std::shared_ptr<const HttpServerOptions> options)
 {
     const auto serve = [handler = std::move(handler), options = std::move(options)](
                            std::shared_ptr<TcpListener> listener, tcp::socket socket) {
@@ -322,7 +360,7 @@
                                                     Millis timeout, bool fresh)
 {
     HttpConnectionPtr connection = fresh ? nullptr : takeIdle(pool.m_idle, endpoint);
-    if (connection)
+    if (connection && connection->m_idleUntil > std::chrono::steady_clock::now())
         co_return connection;
     connection = std::make_shared<HttpConnection>(*pool.m_io);
     connection->m_stream.expires_after(toChrono(timeout));
@@ -335,6 +373,8 @@
     }
     boost::system::error_code ignored;
     connection->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (pool.m_deadAfter.m_count > 0)
+        watchSilence(connection->m_stream.socket(), pool.m_deadAfter);
     co_return connection;
 }
 
@@ -346,12 +386,14 @@
     message.version(11);
     message.method_string(request.m_method);
     message.target(request.m_target);
-    message.set(http::field::host, toText(endpoint));
+    if (fieldOf(request.m_fields, "Host").empty())
+        message.set(http::field::host, toText(endpoint));
     setFields(message, request.m_fields);
     message.body() = request.m_body;
     message.prepare_payload();
     connection.m_whole = false;
     connection.m_parser.emplace();
+    connection.m_parser->skip(request.m_method == "HEAD");
     connection.m_parser->body_limit(boost::none);
     connection.m_stream.expires_after(toChrono(timeout));
     const auto [error, bytes]
@@ -415,12 +457,31 @@
     }
 }
 
+namespace {
+
+/// How long the connection may be idle and still be used: well within what the server says.
+Millis idleTimeOf(const HttpPool &pool, HttpConnection &connection)
+{
+    const std::string keep(connection.m_parser->get()[http::field::keep_alive]);
+    const std::size_t at = keep.find("timeout=");
+    if (at == std::string::npos)
+        return pool.m_idleTime;
+    const std::int64_t seconds = std::strtol(keep.c_str() + at + 8, nullptr, 10);
+    return std::min(pool.m_idleTime, Millis{seconds * 600});
+}
+
+} // namespace
+
 void releaseHttp(HttpPool &pool, const Endpoint &endpoint, HttpConnectionPtr connection)
 {
-    const bool reusable = connection->m_whole && connection->m_parser->get().keep_alive();
+    // Bytes beyond the answer belong to no request: such a connection can't be trusted.
+    const bool reusable = connection->m_whole && connection->m_buffer.size() == 0
+        && connection->m_parser->get().keep_alive();
     auto &idle = pool.m_idle[endpoint];
     if (reusable && idle.size() < pool.m_idleLimit) {
         connection->m_stream.expires_never();
+        connection->m_idleUntil
+            = std::chrono::steady_clock::now() + toChrono(idleTimeOf(pool, *connection));
         idle.push_back(std::move(connection));
     }
 }
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -93,7 +93,9 @@
 struct HttpServerOptions
 {
     std::size_t m_bodyLimit = 1 << 20;                     // bytes
+    std::size_t m_headLimit = 16 << 10;                    // bytes
     Millis m_idleTimeout = {75'000};                       // ms between requests
+    Millis m_headTimeout = {75'000};                       // ms from the first byte to the last
     Millis m_writeTimeout = {30'000};                      // ms for one write to a slow caller
     std::function<HttpResponse(const Failure &)> m_refuse; // answers malformed requests
 };
@@ -103,6 +105,14 @@
                                                 const Endpoint &endpoint, HttpHandler handler,
                                                 HttpServerOptions options);
 
+/// The same with options that the owner may change: each request goes by them as they are then.
+Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
+                                                const Endpoint &endpoint, HttpHandler handler,
+                                                std::shared_ptr<const HttpServerOptions> options);
+
+/// Drops fields that concern one connection only, and those that its Connection field names.
+void dropHopFields(std::vector<HttpField> &fields);
+
 // --- asking ---
 
 struct HttpConnection;
@@ -114,6 +124,8 @@
     asio::io_context *m_io = nullptr;
     std::map<Endpoint, std::vector<HttpConnectionPtr>> m_idle;
     std::size_t m_idleLimit = 64; // for each endpoint
+    Millis m_idleTime = {60'000}; // ms; one that was idle for longer isn't used again
+    Millis m_deadAfter = {0};     // ms without an acknowledgement; 0: as the system does
 };
 
 /// A fresh connection, or a pooled one unless `fresh`. Use fresh for what may not be repeated: a
@@ -123,6 +135,7 @@
 asio::awaitable<std::optional<Failure>> sendRequest(HttpConnection &connection,
                                                     const Endpoint &endpoint,
                                                     const HttpRequest &request, Millis timeout);
+
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
 /// The next bytes of the body as they come; empty at its whole end.
--- a/src/connection/tcp.cpp
+++ b/src/connection/tcp.cpp
@@ -1,6 +1,8 @@
 // Listening and idle connections.
 #include "connection/tcp.h"
 
+#include <netinet/tcp.h>
+
 namespace apricot {
 
 using tcp = asio::ip::tcp;
@@ -66,6 +68,20 @@
     return {asio::ip::make_address(endpoint.m_ip), endpoint.m_port};
 }
 
+void watchSilence(tcp::socket &socket, Millis deadAfter)
+{
+    using asio::detail::socket_option::integer;
+    constexpr int probeAfter = 1; // s idle, and between probes
+    constexpr int probes = 2;     // unanswered
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(probeAfter), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(probeAfter), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(probes), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(deadAfter.m_count)),
+                      ignored);
+}
+
 bool isQuiet(tcp::socket &socket)
 {
     boost::system::error_code error;
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -34,6 +34,10 @@
 std::chrono::milliseconds toChrono(Millis time);
 asio::ip::tcp::endpoint toTcp(const Endpoint &endpoint);
 
+/// Lets a connection fail when its other end is silent: nothing acknowledged for that long, or no
+/// answer to the probes of an idle connection for some seconds.
+void watchSilence(asio::ip::tcp::socket &socket, Millis deadAfter);
+
 /// Whether an idle connection is still of use: one that is readable was closed, or holds garbage.
 bool isQuiet(asio::ip::tcp::socket &socket);
 
--- a/src/process/basics.cpp
+++ b/src/process/basics.cpp
@@ -3,7 +3,7 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
-#include <chrono>
+#include <ctime>
 #include <xxhash.h>
 
 namespace apricot {
@@ -61,8 +61,9 @@
 {
     if (clock.m_manual)
         return clock.m_now;
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count()};
+    timespec time = {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return {std::int64_t{time.tv_sec} * 1'000 + time.tv_nsec / 1'000'000};
 }
 
 } // namespace apricot
--- /dev/null
+++ b/src/process/holder.cpp
@@ -0,0 +1,616 @@
+// The lease, and what its holder does: plan, order, follow each order to its end, tell the others.
+//
+// Every order carries the number of orders that the server had accepted when the plan was made.
+// The server carries it out only if that still holds, so an order that comes late, or twice, can't
+// overfill a server or undo a newer one.
+#include "process/gatewaystate.h"
+#include "process/log.h"
+
+#include <boost/json.hpp>
+
+namespace apricot {
+
+namespace {
+
+const char *const leaseName = "orders";
+constexpr Millis orderTimeout = {900};
+constexpr Millis reportTimeout = {700};
+constexpr Millis holderSilent = {1'300};  // a holder unheard for so long may be gone
+constexpr Millis leaseLook = {150};       // between looks at the lease's state
+constexpr Millis planPause = {12};        // between plans
+constexpr Millis planPeriod = {400};      // without a reason to plan earlier
+constexpr Millis followPause = {120};     // between reports of a server that is busy
+constexpr Millis reportLag = {250};       // a report may be so old
+constexpr Millis followLimit = {20'000};  // an order that takes longer is given up
+constexpr Millis adapterTime = {14};      // a load of an adapter
+constexpr Millis usesFresh = {1'500};     // what hosts told longer ago doesn't count
+constexpr Millis pendingLimit = {10'000}; // room made for a model is kept for it so long
+constexpr Millis storeWindow = {5'000};   // of the weight store's rate
+constexpr double storeShare = 0.8;        // of the weight store's rate
+constexpr int storeLoadsAtOnce = 4;
+
+std::string keyOf(const ModelName &model, const AdapterName &adapter)
+{
+    return model.m_text + "/" + adapter.m_text;
+}
+
+// --- the lease ---
+
+/// One machine, as the lease knows it: a new machine may get the name of an old one.
+HostName machineOf(const Gateway &gateway)
+{
+    return {gateway.m_settings.m_host.m_text + "@" + gateway.m_settings.m_peer.m_ip};
+}
+
+boost::json::value writeLease(const LeaseRecord &record)
+{
+    return boost::json::object{{"holder", record.m_holder.m_text},
+                               {"run", record.m_run},
+                               {"number", record.m_fence}};
+}
+
+LeaseRecord readLease(const boost::json::value &content)
+{
+    LeaseRecord record;
+    if (!content.is_object())
+        return record;
+    const auto &fields = content.get_object();
+    const auto *holder = fields.if_contains("holder");
+    const auto *run = fields.if_contains("run");
+    const auto *fence = fields.if_contains("number");
+    if (holder && holder->is_string())
+        record.m_holder.m_text = std::string(holder->get_string());
+    if (run && run->is_string())
+        record.m_run = std::string(run->get_string());
+    if (fence && fence->is_number())
+        record.m_fence = fence->to_number<std::uint64_t>();
+    return record;
+}
+
+void seeObject(Gateway &gateway, const StoredObject &object)
+{
+    seeLease(gateway.m_lease, readLease(object.m_content), object.m_revision, now(gateway));
+}
+
+void loseLease(Gateway &gateway, const char *why)
+{
+    if (gateway.m_lease.m_fence == 0)
+        return;
+    logWarning("lease_lost", {{"fence", std::to_string(gateway.m_lease.m_fence)}, {"why", why}});
+    dropLease(gateway.m_lease);
+    gateway.m_placement = HolderState();
+    if (gateway.m_holder == gateway.m_settings.m_host)
+        gateway.m_holder = {};
+}
+
+/// Writes a record over the one last seen, or creates it.
+asio::awaitable<StoreReply> writeRecord(Gateway &gateway, const LeaseRecord &record)
+{
+    const auto content = writeLease(record);
+    HttpRequest request = gateway.m_lease.m_anySeen
+        ? gateway.m_protocol->replaceObject(ObjectKind::Lease, leaseName,
+                                            gateway.m_lease.m_revision, content)
+        : gateway.m_protocol->createObject(ObjectKind::Lease, leaseName, content);
+    co_return co_await changeStore(gateway, "lease", std::move(request));
+}
+
+asio::awaitable<void> renewLease(Gateway &gateway)
+{
+    const Millis began = now(gateway);
+    const LeaseRecord record
+        = {machineOf(gateway), gateway.m_run, gateway.m_lease.m_fence};
+    // A record that changes nothing keeps its revision, and others would see no renewal.
+    LeaseRecord fresh = record;
+    fresh.m_run += "/" + std::to_string(began.m_count);
+    const StoreReply reply = co_await writeRecord(gateway, fresh);
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
+        holdLease(gateway.m_lease, gateway.m_leaseTiming, fresh, reply.m_object->m_revision, began,
+                  now(gateway));
+        co_return;
+    }
+    if (reply.m_outcome == StoreOutcome::Conflict && reply.m_object) {
+        const LeaseRecord other = readLease(reply.m_object->m_content);
+        if (other.m_holder == record.m_holder && other.m_fence == record.m_fence) {
+            // An earlier renewal of ours whose answer was lost.
+            seeObject(gateway, *reply.m_object);
+            co_return;
+        }
+        seeObject(gateway, *reply.m_object);
+        loseLease(gateway, "another_record");
+    } else if (reply.m_outcome == StoreOutcome::Missing) {
+        gateway.m_lease.m_anySeen = false;
+    }
+}
+
+asio::awaitable<void> takeLease(Gateway &gateway)
+{
+    const Millis began = now(gateway);
+    LeaseRecord record = {machineOf(gateway), gateway.m_run, 1};
+    if (gateway.m_lease.m_anySeen)
+        record.m_fence = gateway.m_lease.m_seen.m_fence + 1;
+    const StoreReply reply = co_await writeRecord(gateway, record);
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
+        gateway.m_placement = HolderState();
+        holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision,
+                  began, now(gateway));
+        gateway.m_holder = gateway.m_settings.m_host;
+        gateway.m_holderHeard = now(gateway);
+        logEvent("lease_taken", {{"fence", std::to_string(record.m_fence)},
+                                 {"revision", std::to_string(reply.m_object->m_revision)}});
+        beatNow(gateway);
+        wake(*gateway.m_planNow);
+    } else if (reply.m_outcome == StoreOutcome::Conflict && reply.m_object) {
+        seeObject(gateway, *reply.m_object);
+    } else if (reply.m_outcome == StoreOutcome::Missing) {
+        gateway.m_lease.m_anySeen = false;
+    }
+}
+
+/// Looks at the record in the store, and notes since when it stands unchanged.
+asio::awaitable<void> lookAtLease(Gateway &gateway)
+{
+    HttpRequest request = gateway.m_protocol->getObject(ObjectKind::Lease, leaseName);
+    const StoreReply reply = co_await changeStore(gateway, "lease", std::move(request));
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object)
+        seeObject(gateway, *reply.m_object);
+    else if (reply.m_outcome == StoreOutcome::Missing)
+        gateway.m_lease.m_anySeen = false;
+}
+
+bool holderHeard(const Gateway &gateway)
+{
+    return !gateway.m_holder.m_text.empty() && gateway.m_holder != gateway.m_settings.m_host
+        && now(gateway) - gateway.m_holderHeard < holderSilent;
+}
+
+/// One step of a host without the lease.
+asio::awaitable<void> seekLease(Gateway &gateway)
+{
+    if (holderHeard(gateway) || gateway.m_stopping || !isReady(gateway))
+        co_return;
+    co_await pauseFor(gateway, jittered(gateway, leaseLook));
+    if (holderHeard(gateway))
+        co_return;
+    const std::uint64_t before = gateway.m_lease.m_revision;
+    co_await lookAtLease(gateway);
+    if (!gateway.m_lease.m_anySeen) {
+        co_await takeLease(gateway);
+        co_return;
+    }
+    if (gateway.m_lease.m_revision != before)
+        logEvent("lease_seen", {{"holder", gateway.m_lease.m_seen.m_holder.m_text},
+                                {"revision", std::to_string(gateway.m_lease.m_revision)}});
+    const Millis at
+        = takeableAt(gateway.m_lease, gateway.m_leaseTiming, machineOf(gateway));
+    const Millis left = at - now(gateway);
+    if (left.m_count > 0)
+        co_await sleepUntilWoken(*gateway.m_leaseNow, left);
+    if (!holderHeard(gateway) && !gateway.m_stopping && now(gateway) >= at)
+        co_await takeLease(gateway);
+}
+
+// --- following servers ---
+
+FollowedServer *followed(Gateway &gateway, const InstanceId &id)
+{
+    const auto found = gateway.m_placement.m_servers.find(id);
+    return found == gateway.m_placement.m_servers.end() ? nullptr : &found->second;
+}
+
+asio::awaitable<Result<ServerWord>> fetchWord(Gateway &gateway, Endpoint endpoint)
+{
+    HttpRequest request = gateway.m_protocol->askReport();
+    const auto response
+        = co_await fetchHttp(gateway.m_servers, endpoint, std::move(request), reportTimeout);
+    if (!ok(response))
+        co_return std::get<Failure>(response);
+    co_return gateway.m_protocol->readReport(std::get<HttpResponse>(response));
+}
+
+/// Reads reports until one is as new as what we know and says that no order runs.
+asio::awaitable<void> settleServer(Gateway &gateway, InstanceId id, Endpoint endpoint,
+                                   Millis firstWait)
+{
+    const Millis began = now(gateway);
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    co_await pauseFor(gateway, firstWait);
+    while (holdsLease(gateway) && gateway.m_lease.m_fence == fence) {
+        const auto read = co_await fetchWord(gateway, endpoint);
+        FollowedServer *server = followed(gateway, id);
+        if (!server || gateway.m_lease.m_fence != fence)
+            co_return;
+        if (ok(read)) {
+            const auto &word = std::get<ServerWord>(read);
+            const bool restarted = word.m_born != server->m_word.m_born;
+            const bool current = restarted || word.m_sequence >= server->m_word.m_sequence;
+            if (current && !word.m_busy) {
+                server->m_word = word;
+                server->m_sequenceKnown = true;
+                server->m_coming.clear();
+                if (restarted)
+                    server->m_pending = {};
+                announce(gateway, id, word);
+                break;
+            }
+        }
+        if (now(gateway) - began > followLimit) {
+            logWarning("order_overdue", {{"server", id.m_text}});
+            break;
+        }
+        co_await pauseFor(gateway, followPause);
+    }
+    FollowedServer *server = followed(gateway, id);
+    if (server && gateway.m_lease.m_fence == fence)
+        server->m_inHand = false;
+    wake(*gateway.m_planNow);
+}
+
+// --- orders ---
+
+const char *toText(CommandOutcome outcome)
+{
+    switch (outcome) {
+    case CommandOutcome::Accepted:
+        return "accepted";
+    case CommandOutcome::Holds:
+        return "holds";
+    case CommandOutcome::Conflict:
+        return "conflict";
+    case CommandOutcome::Fenced:
+        return "fenced";
+    case CommandOutcome::Refused:
+        return "refused";
+    case CommandOutcome::Elsewhere:
+        return "elsewhere";
+    case CommandOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void logOrder(const Gateway &gateway, const EngineCommand &command, CommandOutcome outcome)
+{
+    logEvent("order", {{"server", command.m_server.m_text},
+                       {"do", command.m_kind == CommandKind::Load ? "load" : "unload"},
+                       {"model", keyOf(command.m_model, command.m_adapter)},
+                       {"sequence", std::to_string(command.m_sequence)},
+                       {"fence", std::to_string(gateway.m_lease.m_fence)},
+                       {"why", command.m_reason},
+                       {"from_store", command.m_fromStore ? "yes" : "no"},
+                       {"outcome", toText(outcome)}});
+}
+
+asio::awaitable<CommandOutcome> sendCommand(Gateway &gateway, const EngineCommand &command,
+                                            Endpoint endpoint)
+{
+    HttpRequest request = gateway.m_protocol->writeCommand(command, gateway.m_settings.m_host,
+                                                           gateway.m_lease.m_fence);
+    auto opened = co_await openHttp(gateway.m_servers, endpoint, orderTimeout, false);
+    // The lease may have run out, or this host may have slept, while the connection was made.
+    if (!ok(opened) || !holdsLease(gateway))
+        co_return CommandOutcome::Refused;
+    const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
+    if (co_await sendRequest(*connection, endpoint, request, orderTimeout))
+        co_return CommandOutcome::Unknown;
+    const auto head = co_await readHead(*connection, orderTimeout);
+    if (!ok(head))
+        co_return CommandOutcome::Unknown;
+    constexpr std::size_t answerLimit = 1 << 20; // bytes
+    auto body = co_await readBody(*connection, orderTimeout, answerLimit);
+    HttpResponse response;
+    response.m_head = std::get<HttpHead>(head);
+    if (ok(body)) {
+        response.m_body = std::get<std::string>(std::move(body));
+        releaseHttp(gateway.m_servers, endpoint, connection);
+    }
+    co_return gateway.m_protocol->readCommandReply(response);
+}
+
+void dropModel(ServerWord &word, const ModelName &model)
+{
+    std::erase_if(word.m_models, [&](const LoadedModel &loaded) { return loaded.m_name == model; });
+}
+
+LoadedModel *loadedModel(ServerWord &word, const ModelName &model)
+{
+    for (LoadedModel &loaded : word.m_models) {
+        if (loaded.m_name == model)
+            return &loaded;
+    }
+    return nullptr;
+}
+
+Millis expectedTime(const Gateway &gateway, const EngineCommand &command, const ServerWord &word,
+                    const ServiceName &service)
+{
+    const auto found = gateway.m_routes->m_services.find(service);
+    if (found == gateway.m_routes->m_services.end() || !found->second.m_engine)
+        return followPause;
+    const auto &models = found->second.m_engine->m_models;
+    const auto model = models.find(command.m_model);
+    if (model == models.end() || command.m_kind == CommandKind::Unload)
+        return followPause;
+    if (word.m_inMemory.contains(command.m_model))
+        return model->second.m_fromMemory;
+    if (word.m_onDisk.contains(command.m_model))
+        return model->second.m_fromDisk;
+    return model->second.m_fromStore;
+}
+
+/// An adapter was loaded: it can be used after a moment.
+asio::awaitable<void> finishAdapter(Gateway &gateway, EngineCommand command)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    co_await pauseFor(gateway, adapterTime);
+    FollowedServer *server = followed(gateway, command.m_server);
+    if (!server || gateway.m_lease.m_fence != fence)
+        co_return;
+    const std::string key = keyOf(command.m_model, command.m_adapter);
+    if (server->m_coming.erase(key) == 0)
+        co_return;
+    server->m_word.m_comingAdapters -= 1;
+    if (LoadedModel *loaded = loadedModel(server->m_word, command.m_model))
+        loaded->m_adapters.push_back(command.m_adapter);
+    announce(gateway, command.m_server, server->m_word);
+    wake(*gateway.m_planNow);
+}
+
+void adapterOrdered(Gateway &gateway, FollowedServer &server, const EngineCommand &command)
+{
+    server.m_word.m_sequence += 1;
+    server.m_inHand = false;
+    if (command.m_kind == CommandKind::Load) {
+        server.m_coming.insert(keyOf(command.m_model, command.m_adapter));
+        server.m_word.m_comingAdapters += 1;
+        begin(gateway, "adapter", finishAdapter(gateway, command));
+        return;
+    }
+    if (LoadedModel *loaded = loadedModel(server.m_word, command.m_model))
+        std::erase(loaded->m_adapters, command.m_adapter);
+    announce(gateway, command.m_server, server.m_word);
+}
+
+/// Sends one order and follows it until the server can take the next.
+asio::awaitable<void> carryOut(Gateway &gateway, EngineCommand command, BackendServer target)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    const Endpoint endpoint = target.m_endpoint;
+    const CommandOutcome outcome = co_await sendCommand(gateway, command, endpoint);
+    logOrder(gateway, command, outcome);
+    FollowedServer *server = followed(gateway, command.m_server);
+    if (!server || gateway.m_lease.m_fence != fence)
+        co_return;
+    const bool adapter = !command.m_adapter.m_text.empty();
+    const bool done = outcome == CommandOutcome::Accepted || outcome == CommandOutcome::Holds;
+    countOrder(gateway.m_metrics,
+               command.m_kind == CommandKind::Load ? OrderKind::Load : OrderKind::Unload, done);
+    if (adapter && done) {
+        adapterOrdered(gateway, *server, command);
+        wake(*gateway.m_planNow);
+        co_return;
+    }
+    if (outcome == CommandOutcome::Accepted) {
+        const Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
+        server->m_word.m_sequence += 1;
+        server->m_word.m_busy = true;
+        if (command.m_kind == CommandKind::Unload) {
+            dropModel(server->m_word, command.m_model);
+            server->m_pending = command.m_purpose;
+        } else {
+            server->m_pending = command.m_model;
+        }
+        server->m_pendingSince = now(gateway);
+        announce(gateway, command.m_server, server->m_word);
+        co_await settleServer(gateway, command.m_server, endpoint, wait);
+        server = followed(gateway, command.m_server);
+        if (server && command.m_kind == CommandKind::Load)
+            server->m_pending = {};
+        co_return;
+    }
+    server->m_sequenceKnown = false;
+    if (command.m_kind == CommandKind::Load)
+        server->m_pending = {};
+    if (outcome == CommandOutcome::Fenced)
+        loseLease(gateway, "fenced");
+    co_await settleServer(gateway, command.m_server, endpoint, reportLag);
+}
+
+asio::awaitable<void> carryOutStoreLoad(Gateway &gateway, EngineCommand command,
+                                        BackendServer target)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    gateway.m_placement.m_storeLoads.push_back(now(gateway));
+    gateway.m_placement.m_storeLoadsRunning += 1;
+    co_await carryOut(gateway, std::move(command), std::move(target));
+    if (gateway.m_lease.m_fence == fence)
+        gateway.m_placement.m_storeLoadsRunning -= 1;
+}
+
+// --- planning ---
+
+void addDemand(std::map<WantKey, ModelDemand> &all, const WantKey &key, const ModelDemand &demand)
+{
+    ModelDemand &sum = all[key];
+    sum.m_model = key.m_model;
+    sum.m_adapter = key.m_adapter;
+    sum.m_waiting += demand.m_waiting;
+    sum.m_oldest = std::max(sum.m_oldest, demand.m_oldest);
+    sum.m_rate += demand.m_rate;
+    sum.m_running += demand.m_running;
+}
+
+std::map<WantKey, ModelDemand> allDemands(const Gateway &gateway)
+{
+    std::map<WantKey, ModelDemand> all;
+    const Millis time = now(gateway);
+    for (const auto &[key, want] : gateway.m_wants) {
+        ModelDemand demand;
+        demand.m_waiting = static_cast<int>(want.m_calls.size());
+        if (!want.m_calls.empty())
+            demand.m_oldest = time - want.m_calls.front().m_since;
+        demand.m_rate = want.m_rate;
+        demand.m_running = want.m_running;
+        addDemand(all, key, demand);
+    }
+    for (const auto &[host, peer] : gateway.m_peers) {
+        if (time - peer.m_usesHeard >= usesFresh)
+            continue;
+        for (const auto &[key, demand] : peer.m_wants)
+            addDemand(all, key, demand);
+    }
+    // Callers of an adapter need its model too.
+    std::map<WantKey, ModelDemand> models;
+    for (const auto &[key, demand] : all) {
+        if (!key.m_adapter.m_text.empty())
+            addDemand(models, {key.m_service, key.m_model, {}}, demand);
+    }
+    for (const auto &[key, demand] : models)
+        addDemand(all, key, demand);
+    return all;
+}
+
+std::map<ModelName, int> runningAt(const Gateway &gateway, const KnownServer &known)
+{
+    std::map<ModelName, int> running = known.m_running;
+    const Millis time = now(gateway);
+    for (const auto &[host, peer] : gateway.m_peers) {
+        if (time - peer.m_usesHeard >= usesFresh)
+            continue;
+        for (const auto &[use, count] : peer.m_uses) {
+            if (use.first == known.m_server.m_id)
+                running[use.second] += count;
+        }
+    }
+    return running;
+}
+
+/// Follows the servers of the list: new ones are asked for a report first.
+void updateFollowed(Gateway &gateway, const ServiceName &service)
+{
+    auto &servers = gateway.m_placement.m_servers;
+    for (auto &[id, known] : gateway.m_roster.m_servers) {
+        if (known.m_server.m_service != service)
+            continue;
+        FollowedServer &server = servers[id];
+        const bool restarted = server.m_word.m_born != known.m_server.m_word.m_born;
+        if (restarted && !server.m_inHand) {
+            server = FollowedServer();
+            server.m_word = known.m_server.m_word;
+        }
+        if (!server.m_sequenceKnown && !server.m_inHand) {
+            server.m_inHand = true;
+            begin(gateway, "report", settleServer(gateway, id, known.m_server.m_endpoint, {0}));
+        }
+        if (now(gateway) - server.m_pendingSince > pendingLimit && !server.m_inHand)
+            server.m_pending = {};
+    }
+    std::erase_if(servers, [&](const auto &entry) {
+        return !gateway.m_roster.m_servers.contains(entry.first);
+    });
+}
+
+PlacementInput planInput(Gateway &gateway, const RoutedService &service,
+                    const std::map<WantKey, ModelDemand> &demands)
+{
+    PlacementInput input;
+    input.m_limits = &*service.m_engine;
+    HolderState &state = gateway.m_placement;
+    const Millis time = now(gateway);
+    while (!state.m_storeLoads.empty() && time - state.m_storeLoads.front() > storeWindow)
+        state.m_storeLoads.pop_front();
+    const double allowed = storeShare * input.m_limits->m_loadsPerSecond
+        * static_cast<double>(storeWindow.m_count) / 1000;
+    input.m_storeLoadDue = state.m_storeLoadsRunning < storeLoadsAtOnce
+        && static_cast<double>(state.m_storeLoads.size()) + 1 <= allowed;
+    for (const auto &[id, known] : gateway.m_roster.m_servers) {
+        if (known.m_server.m_service != service.m_name)
+            continue;
+        const FollowedServer &server = state.m_servers[id];
+        PlanServer plan;
+        plan.m_id = id;
+        plan.m_word = server.m_word;
+        plan.m_usable = !server.m_inHand && !known.m_server.m_leaving && !known.m_missing
+            && time >= known.m_avoidUntil;
+        plan.m_sequenceKnown = server.m_sequenceKnown;
+        plan.m_pending = server.m_pending;
+        plan.m_running = runningAt(gateway, known);
+        for (const std::string &coming : server.m_coming)
+            input.m_comingAdapters.insert(id.m_text + " " + coming);
+        input.m_servers.push_back(std::move(plan));
+    }
+    for (const auto &[key, demand] : demands) {
+        if (key.m_service == service.m_name)
+            input.m_demands.push_back(demand);
+    }
+    return input;
+}
+
+void planOnce(Gateway &gateway)
+{
+    const auto demands = allDemands(gateway);
+    const auto routes = gateway.m_routes;
+    for (const auto &[name, service] : routes->m_services) {
+        if (!service.m_engine)
+            continue;
+        updateFollowed(gateway, name);
+        const PlacementInput input = planInput(gateway, service, demands);
+        for (const EngineCommand &command : planPlacement(input)) {
+            const auto known = gateway.m_roster.m_servers.find(command.m_server);
+            FollowedServer *server = followed(gateway, command.m_server);
+            if (known == gateway.m_roster.m_servers.end() || !server)
+                continue;
+            server->m_inHand = true;
+            auto work = command.m_fromStore
+                ? carryOutStoreLoad(gateway, command, known->second.m_server)
+                : carryOut(gateway, command, known->second.m_server);
+            begin(gateway, "order", std::move(work));
+        }
+    }
+}
+
+} // namespace
+
+bool holdsLease(const Gateway &gateway)
+{
+    return mayOrder(gateway.m_lease, gateway.m_leaseTiming, now(gateway));
+}
+
+asio::awaitable<void> keepLease(Gateway &gateway)
+{
+    // Spread the hosts that start at once, so that one writes and the others hear of it.
+    co_await pauseFor(gateway, jittered(gateway, {400}));
+    while (true) {
+        if (gateway.m_lease.m_fence == 0) {
+            co_await seekLease(gateway);
+        } else if (!holdsLease(gateway)) {
+            loseLease(gateway, "not_renewed_in_time");
+        } else if (!gateway.m_stopping) {
+            const Millis sentAt = gateway.m_lease.m_validUntil - gateway.m_leaseTiming.m_length;
+            if (now(gateway) - sentAt >= gateway.m_leaseTiming.m_renew)
+                co_await renewLease(gateway);
+        }
+        co_await sleepUntilWoken(*gateway.m_leaseNow, leaseLook);
+    }
+}
+
+asio::awaitable<void> releaseLease(Gateway &gateway)
+{
+    if (gateway.m_lease.m_fence == 0)
+        co_return;
+    const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fence};
+    loseLease(gateway, "stopping");
+    const StoreReply reply = co_await writeRecord(gateway, record);
+    logEvent("lease_released", {{"done", reply.m_outcome == StoreOutcome::Done ? "yes" : "no"}});
+}
+
+asio::awaitable<void> runPlacement(Gateway &gateway)
+{
+    while (true) {
+        co_await sleepUntilWoken(*gateway.m_planNow, planPeriod);
+        co_await pauseFor(gateway, planPause);
+        if (holdsLease(gateway) && gateway.m_routes && !gateway.m_stopping)
+            planOnce(gateway);
+    }
+}
+
+} // namespace apricot
--- /dev/null
+++ b/src/process/roster.cpp
@@ -0,0 +1,98 @@
+// What a host knows of the backend servers, from the list, the lease holder and their answers.
+#include "gateway.h"
+
+#include <algorithm>
+
+namespace apricot {
+
+namespace {
+
+/// A word of an earlier start is always older.
+bool isOlder(const ServerWord &word, const ServerWord &than)
+{
+    if (word.m_born != than.m_born)
+        return word.m_born < than.m_born;
+    return word.m_sequence < than.m_sequence;
+}
+
+} // namespace
+
+const ServerWord &latestWord(const KnownServer &known)
+{
+    if (known.m_notice && !isOlder(*known.m_notice, known.m_server.m_word))
+        return *known.m_notice;
+    return known.m_server.m_word;
+}
+
+void takeEntry(Roster &roster, const BackendServer &server)
+{
+    KnownServer &known = roster.m_servers[server.m_id];
+    const bool restarted = known.m_server.m_word.m_born != server.m_word.m_born;
+    known.m_server = server;
+    known.m_missing = false;
+    if (!restarted)
+        return;
+    known.m_failures = 0;
+    known.m_avoidUntil = {};
+    known.m_refusedUntil.clear();
+    if (known.m_notice && known.m_notice->m_born != server.m_word.m_born)
+        known.m_notice.reset();
+}
+
+bool takeNotice(Roster &roster, const InstanceId &server, const ServerWord &word, Millis time)
+{
+    const auto found = roster.m_servers.find(server);
+    if (found == roster.m_servers.end())
+        return false;
+    KnownServer &known = found->second;
+    if (isOlder(word, latestWord(known)))
+        return false;
+    known.m_notice = word;
+    known.m_noticeHeard = time;
+    known.m_refusedUntil.clear();
+    return true;
+}
+
+void takeList(Roster &roster, const std::vector<BackendServer> &servers, bool afterOutage,
+              Millis time)
+{
+    std::set<InstanceId> listed;
+    for (const BackendServer &server : servers) {
+        takeEntry(roster, server);
+        listed.insert(server.m_id);
+    }
+    for (auto at = roster.m_servers.begin(); at != roster.m_servers.end();) {
+        KnownServer &known = at->second;
+        if (listed.contains(at->first)) {
+            ++at;
+        } else if (afterOutage && !known.m_server.m_leaving) {
+            known.m_missingSince = known.m_missing ? known.m_missingSince : time;
+            known.m_missing = true;
+            ++at;
+        } else {
+            at = roster.m_servers.erase(at);
+        }
+    }
+}
+
+void dropMissing(Roster &roster, Millis missingFor, Millis time)
+{
+    std::erase_if(roster.m_servers, [&](const auto &entry) {
+        return entry.second.m_missing && time - entry.second.m_missingSince >= missingFor;
+    });
+}
+
+bool holdsModel(const ServerWord &word, const ModelName &model, const AdapterName &adapter)
+{
+    for (const LoadedModel &loaded : word.m_models) {
+        if (loaded.m_name != model)
+            continue;
+        if (adapter.m_text.empty())
+            return true;
+        const auto &all = loaded.m_adapters;
+        return std::find(all.begin(), all.end(), adapter) != all.end();
+    }
+    return false;
+}
+
+} // namespace apricot
--- a/src/request/errors.cpp
+++ b/src/request/errors.cpp
@@ -13,6 +13,7 @@
         {None, "none", 200, false, Ran, "no error"},
         {BadRequest, "bad_request", 400, false, NotRun, "the request is malformed"},
         {UnknownService, "unknown_service", 404, false, NotRun, "no such service is published"},
+        {UnknownRoute, "unknown_route", 404, false, NotRun, "no route leads there"},
         {UnknownModel, "unknown_model", 404, false, NotRun, "no such model is published"},
         {UnknownAdapter, "unknown_adapter", 404, false, NotRun, "no such adapter is published"},
         {UnknownWork, "unknown_work", 404, false, NotRun, "no such kind of work is published"},
--- /dev/null
+++ b/src/version/routes.cpp
@@ -0,0 +1,62 @@
+// Finds the route and the service of a request.
+#include "gateway.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace apricot {
+
+namespace {
+
+bool searchedFirst(const Route &a, const Route &b)
+{
+    if (a.m_host != b.m_host)
+        return a.m_host < b.m_host;
+    return a.m_pathPrefix.size() > b.m_pathPrefix.size();
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+void sortRoutes(RouteTable &table)
+{
+    std::stable_sort(table.m_routes.begin(), table.m_routes.end(), searchedFirst);
+}
+
+const Route *matchRoute(const RouteTable &table, std::string_view host, std::string_view target)
+{
+    const std::string_view name = withoutPort(host);
+    const std::string_view path = target.substr(0, target.find('?'));
+    auto route = std::lower_bound(
+        table.m_routes.begin(), table.m_routes.end(), name,
+        [](const Route &other, std::string_view wanted) { return other.m_host < wanted; });
+    for (; route != table.m_routes.end() && route->m_host == name; ++route) {
+        if (path.starts_with(route->m_pathPrefix))
+            return &*route;
+    }
+    return nullptr;
+}
+
+ServiceName pickService(const Route &route, std::string_view key)
+{
+    assert(!route.m_services.empty() && "the protocol must not let a route without services in");
+    std::uint64_t sum = 0;
+    for (const WeightedService &share : route.m_services)
+        sum += static_cast<std::uint64_t>(share.m_weight);
+    if (sum == 0)
+        return route.m_services.front().m_service;
+    std::uint64_t at = stableHash(key) % sum;
+    for (const WeightedService &share : route.m_services) {
+        const auto weight = static_cast<std::uint64_t>(share.m_weight);
+        if (at < weight)
+            return share.m_service;
+        at -= weight;
+    }
+    return route.m_services.back().m_service;
+}
+
+} // namespace apricot
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -74,7 +74,7 @@
         std::cerr << "--listen: must be IP:PORT\n";
         return 2;
     }
-    auto listener = listenHttp({&io}, *endpoint, std::move(handler), {});
+    auto listener = listenHttp({&io}, *endpoint, std::move(handler), HttpServerOptions());
     if (!ok(listener)) {
         std::cerr << std::get<Failure>(listener).m_detail << "\n";
         return 1;
