Orders: an entry's count is of heartbeats, not of accepted orders

Cause: the holder compared the list entry's "seq" (heartbeats) with a report's (accepted orders); no report ever looked as new as the entry, so no server was settled: 0 orders, 5,610 reports in 34 s. Change: entries carry no order count; a notice of the holder counts until an entry changes 1.5 s after it; the holder reads a report again when an entry shows models that no order of its own explains.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -131,7 +131,7 @@
 struct ServerWord
 {
     std::int64_t m_born = 0; // Unix ms of its start; an id may be used for several starts
-    std::uint64_t m_sequence = 0;      // orders accepted since its start
+    std::uint64_t m_sequence = 0;      // orders accepted since its start; 0 in the list's entries
     bool m_busy = false;               // loads or unloads a model
     std::vector<LoadedModel> m_models; // ready
     std::set<ModelName> m_inMemory;    // copies of weights on that server
@@ -160,10 +160,11 @@
 };
 
 /// Hard to say whether a server holds a model: its own entry lags, the lease holder's notice may be
-/// lost, and the server itself may just have refused. The latest word about it counts.
+/// lost, and the server itself may just have refused.
 struct KnownServer
 {
     BackendServer m_server;
+    Millis m_entryHeard; // when m_server last changed
     std::optional<ServerWord> m_notice; // from the lease holder, newer than the entry
     Millis m_noticeHeard;               // valid if m_notice
     Millis m_missingSince;              // valid if m_missing
@@ -185,11 +186,12 @@
     std::uint64_t m_revision = 0; // of the store, up to which m_servers is complete
 };
 
-/// The models that a server has ready, by the latest word.
+/// The models that a server has ready: by the lease holder's notice, which knows of orders that
+/// the entry doesn't show yet, unless the entry changed well after it.
 const ServerWord &latestWord(const KnownServer &known);
 
-/// Takes an entry of the platform's list. An older word than the known one changes nothing.
-void takeEntry(Roster &roster, const BackendServer &server);
+/// Takes an entry of the platform's list. What was known of an earlier start is forgotten.
+void takeEntry(Roster &roster, const BackendServer &server, Millis time);
 
 /// Takes a notice of the lease holder about a server; false if it is older than what is known.
 bool takeNotice(Roster &roster, const InstanceId &server, const ServerWord &word, Millis time);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -68,6 +68,7 @@
     bool m_inHand = false;  // a coroutine follows an order or a report of it
     ModelName m_pending;    // see PlanServer
     Millis m_pendingSince;
+    Millis m_settledAt; // when a report last settled m_word
     std::set<std::string> m_coming; // "model/adapter"
 };
 
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -213,6 +213,7 @@
 {
     const Millis began = now(gateway);
     const std::uint64_t fence = gateway.m_lease.m_fence;
+    bool complained = false;
     co_await pauseFor(gateway, firstWait);
     while (holdsLease(gateway) && gateway.m_lease.m_fence == fence) {
         const auto read = co_await fetchWord(gateway, endpoint);
@@ -226,6 +227,7 @@
             if (current && !word.m_busy) {
                 server->m_word = word;
                 server->m_sequenceKnown = true;
+                server->m_settledAt = now(gateway);
                 server->m_coming.clear();
                 if (restarted)
                     server->m_pending = {};
@@ -233,6 +235,11 @@
                 break;
             }
         }
+        if (!ok(read) && !complained) {
+            complained = true;
+            logWarning("report_failed",
+                       {{"server", id.m_text}, {"why", std::get<Failure>(read).m_detail}});
+        }
         if (now(gateway) - began > followLimit) {
             logWarning("order_overdue", {{"server", id.m_text}});
             break;
@@ -484,6 +491,22 @@
     return running;
 }
 
+std::set<ModelName> modelNames(const ServerWord &word)
+{
+    std::set<ModelName> names;
+    for (const LoadedModel &loaded : word.m_models)
+        names.insert(loaded.m_name);
+    return names;
+}
+
+/// Whether the server's entry shows models that no order of ours explains: an order that an earlier
+/// holder sent, or one that came late, was carried out.
+bool changedByOthers(const FollowedServer &server, const KnownServer &known)
+{
+    const bool fresh = known.m_entryHeard > server.m_settledAt + reportLag;
+    return fresh && modelNames(server.m_word) != modelNames(known.m_server.m_word);
+}
+
 /// Follows the servers of the list: new ones are asked for a report first.
 void updateFollowed(Gateway &gateway, const ServiceName &service)
 {
@@ -495,8 +518,10 @@
         const bool restarted = server.m_word.m_born != known.m_server.m_word.m_born;
         if (restarted && !server.m_inHand) {
             server = FollowedServer();
-            server.m_word = known.m_server.m_word;
+            server.m_word.m_born = known.m_server.m_word.m_born;
         }
+        if (!server.m_inHand && changedByOthers(server, known))
+            server.m_sequenceKnown = false;
         if (!server.m_sequenceKnown && !server.m_inHand) {
             server.m_inHand = true;
             begin(gateway, "report", settleServer(gateway, id, known.m_server.m_endpoint, {0}));
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr Millis noticeLead = {1'500}; // an entry may lag behind orders by a heartbeat
+
 /// A word of an earlier start is always older.
 bool isOlder(const ServerWord &word, const ServerWord &than)
 {
@@ -19,16 +21,17 @@
 
 const ServerWord &latestWord(const KnownServer &known)
 {
-    if (known.m_notice && !isOlder(*known.m_notice, known.m_server.m_word))
+    if (known.m_notice && known.m_entryHeard <= known.m_noticeHeard + noticeLead)
         return *known.m_notice;
     return known.m_server.m_word;
 }
 
-void takeEntry(Roster &roster, const BackendServer &server)
+void takeEntry(Roster &roster, const BackendServer &server, Millis time)
 {
     KnownServer &known = roster.m_servers[server.m_id];
     const bool restarted = known.m_server.m_word.m_born != server.m_word.m_born;
     known.m_server = server;
+    known.m_entryHeard = time;
     known.m_missing = false;
     if (!restarted)
         return;
@@ -45,7 +48,9 @@
     if (found == roster.m_servers.end())
         return false;
     KnownServer &known = found->second;
-    if (isOlder(word, latestWord(known)))
+    if (word.m_born != known.m_server.m_word.m_born)
+        return false; // of another start than the entry
+    if (known.m_notice && isOlder(word, *known.m_notice))
         return false;
     known.m_notice = word;
     known.m_noticeHeard = time;
@@ -58,7 +63,7 @@
 {
     std::set<InstanceId> listed;
     for (const BackendServer &server : servers) {
-        takeEntry(roster, server);
+        takeEntry(roster, server, time);
         listed.insert(server.m_id);
     }
     for (auto at = roster.m_servers.begin(); at != roster.m_servers.end();) {
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -113,7 +113,7 @@
         logServer("server_known", id, object.m_revision, "entry");
     if (server.m_leaving && !wasLeaving)
         logServer("server_leaving", id, object.m_revision, "entry");
-    takeEntry(roster, server);
+    takeEntry(roster, server, now(gateway));
 }
 
 void takeObject(Gateway &gateway, ObjectKind kind, const StoredObject &object)
