Audit: one host reads configuration and servers anew for all hosts

Change: the host of the lowest rank (the lease holder first) reads both every 0.7 s and beats; beats carry the configuration's version and a digest of the servers, and a host that is behind reads what it lacks. Servers are watched by the holder alone, whose notices tell the others of models. Ruled out: short watches (an empty one may skip a change), polling by each host (nine times the calls).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -183,7 +183,7 @@
 struct Roster
 {
     std::map<InstanceId, KnownServer> m_servers;
-    std::uint64_t m_revision = 0; // of the store, up to which m_servers is complete
+    std::uint64_t m_revision = 0; // of the store, at which m_servers was the whole list
 };
 
 /// The models that a server has ready: by the lease holder's notice, which knows of orders that
@@ -202,6 +202,9 @@
               Millis time);
 void dropMissing(Roster &roster, Millis missingFor, Millis time);
 
+/// Tells rosters apart by which servers there are, which start of them, and which are leaving.
+std::uint64_t digestOf(const Roster &roster);
+
 bool holdsModel(const ServerWord &word, const ModelName &model, const AdapterName &adapter);
 
 // ---------------------------------------------------------------------------------------------
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -132,6 +132,7 @@
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_refuse = refuseMalformed;
     gateway->m_leaseTiming.m_turn = settings.m_leaseTurn;
+    gateway->m_listNow = std::make_unique<Sleeper>(gateway->m_io);
     gateway->m_tellNow = std::make_unique<Sleeper>(gateway->m_io);
     gateway->m_planNow = std::make_unique<Sleeper>(gateway->m_io);
     gateway->m_leaseNow = std::make_unique<Sleeper>(gateway->m_io);
@@ -155,7 +156,8 @@
     if (failure)
         return failure;
     begin(gateway, "configuration", followObjects(gateway, ObjectKind::Configuration));
-    begin(gateway, "servers", followObjects(gateway, ObjectKind::Servers));
+    begin(gateway, "servers", followServers(gateway));
+    begin(gateway, "audit", auditStore(gateway));
     begin(gateway, "register", registerHost(gateway));
     begin(gateway, "hosts", followObjects(gateway, ObjectKind::Hosts));
     begin(gateway, "hear", hearBeats(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -106,6 +106,10 @@
     std::shared_ptr<HttpServerOptions> m_callerOptions;
     Roster m_roster;
     bool m_rosterKnown = false;
+    std::unique_ptr<Sleeper> m_listNow; // wakes the loop that lists the servers
+    std::uint64_t m_routesRevision = 0; // of the configuration's object
+    bool m_catchingUp = false;          // a coroutine reads what another host is ahead by
+    Millis m_auditHeard;                // when a host last read the store for all
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<WantKey, Want> m_wants;
 
@@ -166,9 +170,20 @@
                                                 HttpRequest request, Millis timeout);
 asio::awaitable<StoreReply> changeStore(Gateway &gateway, const char *what, HttpRequest request);
 
-/// Follows all objects of a kind for as long as the process runs.
+/// Follows all objects of a kind by watches, for as long as the process runs.
 asio::awaitable<void> followObjects(Gateway &gateway, ObjectKind kind);
 
+/// Follows the servers: the lease holder by watches, the others by lists when a beat shows that
+/// theirs is out of date.
+asio::awaitable<void> followServers(Gateway &gateway);
+
+/// A watch may miss changes and not say so. One host after the other reads configuration and
+/// servers anew, and its beat tells the others whether they are behind.
+asio::awaitable<void> auditStore(Gateway &gateway);
+
+/// Another host is ahead of us: read what we lack, unless it arrives by itself.
+void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision);
+
 // --- hosts.cpp: other hosts, and address answers ---
 
 asio::awaitable<void> registerHost(Gateway &gateway);
@@ -177,7 +192,10 @@
 asio::awaitable<void> hearBeats(Gateway &gateway);
 asio::awaitable<void> sendBeats(Gateway &gateway);
 asio::awaitable<void> tellHolder(Gateway &gateway);
-void beatNow(Gateway &gateway);
+void beatNow(Gateway &gateway, bool audited = false);
+
+/// This host's place among those that it hears, the lease holder first.
+int hostRank(const Gateway &gateway);
 void announce(Gateway &gateway, const InstanceId &server, const ServerWord &word);
 std::vector<Endpoint> callerAddresses(const Gateway &gateway);
 int hostCount(const Gateway &gateway);
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -40,6 +40,9 @@
     beat.run = gateway.m_run;
     beat.ready = isReady(gateway);
     beat.fence = holdsLease(gateway) ? gateway.m_lease.m_fence : 0;
+    beat.routes = gateway.m_routes ? gateway.m_routes->m_version : 0;
+    beat.servers_digest = digestOf(gateway.m_roster);
+    beat.servers_revision = gateway.m_roster.m_revision;
     return beat;
 }
 
@@ -100,6 +103,9 @@
         gateway.m_holder = host;
         gateway.m_holderHeard = time;
     }
+    if (beat.audited)
+        gateway.m_auditHeard = time;
+    catchUp(gateway, beat.routes, beat.servers_digest, beat.servers_revision);
     if (beat.tells_use) {
         peer.m_wants.clear();
         peer.m_uses.clear();
@@ -264,9 +270,25 @@
     }
 }
 
-void beatNow(Gateway &gateway)
+void beatNow(Gateway &gateway, bool audited)
 {
-    sendToAll(gateway, makeBeat(gateway));
+    wire::BeatT beat = makeBeat(gateway);
+    beat.audited = audited;
+    sendToAll(gateway, beat);
+}
+
+int hostRank(const Gateway &gateway)
+{
+    const HostName &self = gateway.m_settings.m_host;
+    if (gateway.m_holder == self)
+        return 0;
+    int rank = 0;
+    for (const auto &[host, peer] : gateway.m_peers) {
+        const bool heard = peer.m_ready && now(gateway) - peer.m_heard < silentAfter;
+        if (heard && (host < self || host == gateway.m_holder))
+            ++rank;
+    }
+    return rank;
 }
 
 asio::awaitable<void> sendBeats(Gateway &gateway)
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -87,6 +87,18 @@
     });
 }
 
+std::uint64_t digestOf(const Roster &roster)
+{
+    std::string text;
+    for (const auto &[id, known] : roster.m_servers) {
+        if (known.m_missing)
+            continue;
+        text += id.m_text + " " + std::to_string(known.m_server.m_word.m_born)
+            + (known.m_server.m_leaving ? " leaving\n" : "\n");
+    }
+    return stableHash(text);
+}
+
 bool holdsModel(const ServerWord &word, const ModelName &model, const AdapterName &adapter)
 {
     for (const LoadedModel &loaded : word.m_models) {
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -13,7 +13,13 @@
 constexpr Millis betweenWatches = {5};     // lets a series of changes come as one answer
 constexpr Millis emptyWatchPause = {250};  // after an answer that came early and empty
 constexpr Millis outageEcho = {5'000};     // entries may have lapsed in an outage this recent
-constexpr Millis missingFor = {1'900};     // a lapsed entry that stays away is gone
+constexpr Millis auditPeriod = {700}; // after any host's audit; well within the time that a
+                                      // change may take to be in force everywhere
+constexpr Millis auditStep = {120};   // by rank, so that one host audits
+constexpr Millis auditLook = {50};
+constexpr Millis catchUpPause = {60}; // what others know may be on its way here
+constexpr Millis listPeriod = {10'000};
+constexpr Millis listPause = {100};
 
 const char *toText(ObjectKind kind)
 {
@@ -52,8 +58,9 @@
 
 void takeRoutes(Gateway &gateway, const StoredObject &object)
 {
-    if (object.m_deleted || object.m_name != "main")
+    if (object.m_deleted || object.m_name != "main" || object.m_revision <= gateway.m_routesRevision)
         return;
+    gateway.m_routesRevision = object.m_revision;
     auto read = gateway.m_protocol->readRoutes(object.m_content);
     if (!ok(read)) {
         logWarning("configuration_unreadable",
@@ -190,8 +197,10 @@
         }
         if (!page->m_more || page->m_objects.empty()) {
             dropUnlisted(gateway, kind, listed);
-            if (kind == ObjectKind::Servers)
+            if (kind == ObjectKind::Servers) {
                 gateway.m_rosterKnown = true;
+                gateway.m_roster.m_revision = page->m_revision;
+            }
             wakeWaiting(gateway);
             co_return page->m_revision;
         }
@@ -223,45 +232,127 @@
     co_return reply;
 }
 
+namespace {
+
+/// One watch, and what it tells; the revision to go on from, or nothing: list anew.
+asio::awaitable<std::optional<std::uint64_t>> watchOnce(Gateway &gateway, ObjectKind kind,
+                                                        std::uint64_t revision, Millis &pause)
+{
+    StoreOutcome outcome = StoreOutcome::Unknown;
+    const Millis began = now(gateway);
+    HttpRequest request = gateway.m_protocol->watchObjects(kind, revision, watchWait);
+    const auto page = co_await fetchPage(gateway, kind, std::move(request),
+                                         watchWait + callTimeout, outcome);
+    if (!page) {
+        co_await pauseFor(gateway, jittered(gateway, pause));
+        pause = std::min(pause * 2, longestPause);
+        if (outcome != StoreOutcome::HistoryGone)
+            co_return revision;
+        logEvent("history_gone", {{"kind", toText(kind)}});
+        co_return std::nullopt;
+    }
+    pause = firstPause;
+    for (const StoredObject &object : page->m_objects)
+        takeObject(gateway, kind, object);
+    if (kind == ObjectKind::Servers)
+        gateway.m_roster.m_revision = page->m_revision;
+    if (!page->m_objects.empty())
+        wakeWaiting(gateway);
+    const bool early = page->m_objects.empty() && now(gateway) - began < emptyWatchPause;
+    co_await pauseFor(gateway, early ? emptyWatchPause : betweenWatches);
+    co_return page->m_revision;
+}
+
+/// Reads the list until that succeeds.
+asio::awaitable<std::uint64_t> listPatiently(Gateway &gateway, ObjectKind kind)
+{
+    Millis pause = firstPause;
+    while (true) {
+        const auto revision = co_await listAll(gateway, kind);
+        if (revision)
+            co_return *revision;
+        co_await pauseFor(gateway, jittered(gateway, pause));
+        pause = std::min(pause * 2, longestPause);
+    }
+}
+
+asio::awaitable<bool> readRoutesAnew(Gateway &gateway)
+{
+    HttpRequest request = gateway.m_protocol->getObject(ObjectKind::Configuration, "main");
+    const StoreReply reply = co_await changeStore(gateway, "configuration", std::move(request));
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object)
+        takeRoutes(gateway, *reply.m_object);
+    co_return reply.m_outcome == StoreOutcome::Done;
+}
+
+bool serversBehind(const Gateway &gateway, std::uint64_t digest, std::uint64_t revision)
+{
+    return revision > gateway.m_roster.m_revision && digest != digestOf(gateway.m_roster);
+}
+
+asio::awaitable<void> catchUpLater(Gateway &gateway, std::uint64_t routes, std::uint64_t digest,
+                                   std::uint64_t revision)
+{
+    co_await pauseFor(gateway, jittered(gateway, catchUpPause));
+    const bool routesBehind = !gateway.m_routes || gateway.m_routes->m_version < routes;
+    if (routesBehind)
+        co_await readRoutesAnew(gateway);
+    if (serversBehind(gateway, digest, revision))
+        wake(*gateway.m_listNow);
+    gateway.m_catchingUp = false;
+}
+
+} // namespace
+
 asio::awaitable<void> followObjects(Gateway &gateway, ObjectKind kind)
 {
     std::optional<std::uint64_t> revision;
     Millis pause = firstPause;
     while (true) {
         if (!revision) {
-            revision = co_await listAll(gateway, kind);
-            if (!revision) {
-                co_await pauseFor(gateway, jittered(gateway, pause));
-                pause = std::min(pause * 2, longestPause);
-                continue;
-            }
+            revision = co_await listPatiently(gateway, kind);
             logEvent("list_read",
                      {{"kind", toText(kind)}, {"revision", std::to_string(*revision)}});
-            pause = firstPause;
         }
-        StoreOutcome outcome = StoreOutcome::Unknown;
-        const Millis began = now(gateway);
-        HttpRequest request = gateway.m_protocol->watchObjects(kind, *revision, watchWait);
-        const auto page = co_await fetchPage(gateway, kind, std::move(request),
-                                             watchWait + callTimeout, outcome);
-        if (!page) {
-            if (outcome == StoreOutcome::HistoryGone) {
-                logEvent("history_gone", {{"kind", toText(kind)}});
-                revision.reset();
-            }
-            co_await pauseFor(gateway, jittered(gateway, pause));
-            pause = std::min(pause * 2, longestPause);
+        revision = co_await watchOnce(gateway, kind, *revision, pause);
+    }
+}
+
+asio::awaitable<void> followServers(Gateway &gateway)
+{
+    Millis pause = firstPause;
+    while (true) {
+        std::optional<std::uint64_t> revision = co_await listPatiently(gateway, ObjectKind::Servers);
+        while (revision && holdsLease(gateway))
+            revision = co_await watchOnce(gateway, ObjectKind::Servers, *revision, pause);
+        if (revision)
+            co_await sleepUntilWoken(*gateway.m_listNow, listPeriod);
+        co_await pauseFor(gateway, listPause);
+    }
+}
+
+asio::awaitable<void> auditStore(Gateway &gateway)
+{
+    while (true) {
+        co_await pauseFor(gateway, auditLook);
+        const Millis due = gateway.m_auditHeard + auditPeriod + auditStep * hostRank(gateway);
+        if (now(gateway) < due || gateway.m_stopping)
             continue;
-        }
-        pause = firstPause;
-        for (const StoredObject &object : page->m_objects)
-            takeObject(gateway, kind, object);
-        revision = page->m_revision;
-        if (!page->m_objects.empty())
-            wakeWaiting(gateway);
-        const bool early = page->m_objects.empty() && now(gateway) - began < emptyWatchPause;
-        co_await pauseFor(gateway, early ? emptyWatchPause : betweenWatches);
+        gateway.m_auditHeard = now(gateway); // also when it fails: the next try has its turn
+        const bool routesRead = co_await readRoutesAnew(gateway);
+        const auto revision = co_await listAll(gateway, ObjectKind::Servers);
+        if (routesRead && revision)
+            beatNow(gateway, true);
     }
 }
 
+void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision)
+{
+    const bool routesBehind = !gateway.m_routes || gateway.m_routes->m_version < routes;
+    if (gateway.m_catchingUp || (!routesBehind && !serversBehind(gateway, digest, revision)))
+        return;
+    gateway.m_catchingUp = true;
+    begin(gateway, "catch_up", catchUpLater(gateway, routes, digest, revision));
+}
+
 } // namespace apricot
