Lease: the holder goes on under promises of all other hosts

Change: a holder that can't renew asks every registered host not to take the lease for a while; with all of them granting, it goes on. The holder's beats tell the record's revision and what is left of it, so a successor counts from there, without a look at the store. The lease lasts 2 s, renewed each 0.7 s. Ruled out: handing over early (a successor must still wait out the turn of 3 s).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -299,8 +299,8 @@
 
 struct LeaseTiming
 {
-    Millis m_length = {3'000}; // from the start of the renewal that was acknowledged
-    Millis m_renew = {900};    // between renewals
+    Millis m_length = {2'000}; // from the start of the renewal that was acknowledged
+    Millis m_renew = {700};    // between renewals
     Millis m_turn = {3'000};   // orders of two hosts are at least this far apart
     Millis m_margin = {250};   // a holder stops earlier and a successor waits longer
 };
@@ -313,22 +313,33 @@
     std::uint64_t m_fence = 0;   // grows with each holder
 };
 
-/// One host's view of the lease. Invariant: m_validUntil never counts from a renewal that the store
-/// did not acknowledge.
+/// One host's view of the lease. Invariant: m_validUntil never counts from a renewal that neither
+/// the store acknowledged nor all other hosts granted.
 struct Lease
 {
     std::uint64_t m_fence = 0;   // of ours; 0: never held
     Millis m_validUntil;         // orders may be sent before this
     std::uint64_t m_revision = 0; // of the record as last seen
     LeaseRecord m_seen;          // the record as last seen
-    Millis m_seenSince;          // since when that revision stands
+    Millis m_seenSince;          // its holder's time counts from here at the latest
     bool m_anySeen = false;
+    Millis m_promisedAt = {-1'000'000}; // when this host last granted the holder more time
+    Millis m_doubtUntil = {-1'000'000}; // a record of ours may yet be written: no promises
 };
 
 bool mayOrder(const Lease &lease, const LeaseTiming &timing, Millis time);
 
-/// Notes the record as it is in the store.
-void seeLease(Lease &lease, const LeaseRecord &record, std::uint64_t revision, Millis time);
+/// Notes the record as it is in the store, or was at a revision that the holder told. `since` is
+/// the time from which its holder may count at the latest.
+void seeLease(Lease &lease, const LeaseRecord &record, std::uint64_t revision, Millis since);
+
+/// The holder of that fence can't reach the store and asks for more time. True: granted, and this
+/// host won't take the lease before that time is over. A restart forgets the promise, but a new
+/// process waits as long from the first sight of the record.
+bool promiseLease(Lease &lease, std::uint64_t fence, Millis time);
+
+/// All other hosts granted what was asked at `asked`.
+void extendLease(Lease &lease, const LeaseTiming &timing, Millis asked);
 
 /// When this host may take the lease, if the record stays as it was seen. At once if the record
 /// names this host: orders of one machine have one holder.
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -87,6 +87,14 @@
     bool m_away = false;               // the last call failed
 };
 
+/// The holder's last question to all other hosts. Valid if m_number is above 0.
+struct LeaseAsk
+{
+    std::uint64_t m_number = 0;
+    Millis m_asked;
+    std::set<HostName> m_open; // hosts that did not grant it yet
+};
+
 struct Gateway
 {
     asio::io_context m_io{1};
@@ -117,11 +125,14 @@
     std::unique_ptr<asio::ip::udp::socket> m_udp;
     HostName m_holder; // that said so last; empty: none
     Millis m_holderHeard;
+    Millis m_strangerHeard = {-1'000'000}; // a host that isn't in the register as we know it
     std::uint64_t m_hostRevision = 0; // of our entry in the register; 0: none
     std::unique_ptr<Sleeper> m_tellNow; // wakes the loop that tells the holder
 
     Lease m_lease;
     LeaseTiming m_leaseTiming;
+    bool m_renewing = false;   // a renewal is on its way to the store
+    LeaseAsk m_leaseAsk;
     HolderState m_placement;
     std::unique_ptr<Sleeper> m_planNow;
     std::unique_ptr<Sleeper> m_leaseNow;
@@ -200,10 +211,19 @@
 std::vector<Endpoint> callerAddresses(const Gateway &gateway);
 int hostCount(const Gateway &gateway);
 
-// --- holder.cpp: the lease and the orders ---
+void askForLease(Gateway &gateway);
+
+// --- leasekeeper.cpp: who may order ---
 
 asio::awaitable<void> keepLease(Gateway &gateway);
 asio::awaitable<void> releaseLease(Gateway &gateway);
+void loseLease(Gateway &gateway, const char *why);
+
+/// One machine, as the lease knows it: a new machine may get the name of an old one.
+HostName machineOf(const HostName &host, const Endpoint &peer);
+
+// --- holder.cpp: the orders ---
+
 asio::awaitable<void> runPlacement(Gateway &gateway);
 
 } // namespace apricot
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -1,4 +1,4 @@
-// The lease, and what its holder does: plan, order, follow each order to its end, tell the others.
+// What the lease holder does: plan, order, follow each order to its end, tell the others.
 //
 // Every order carries the number of orders that the server had accepted when the plan was made.
 // The server carries it out only if that still holds, so an order that comes late, or twice, can't
@@ -6,17 +6,12 @@
 #include "process/gatewaystate.h"
 #include "process/log.h"
 
-#include <boost/json.hpp>
-
 namespace apricot {
 
 namespace {
 
-const char *const leaseName = "orders";
 constexpr Millis orderTimeout = {900};
 constexpr Millis reportTimeout = {700};
-constexpr Millis holderSilent = {1'300};  // a holder unheard for so long may be gone
-constexpr Millis leaseLook = {150};       // between looks at the lease's state
 constexpr Millis planPause = {12};        // between plans
 constexpr Millis planPeriod = {400};      // without a reason to plan earlier
 constexpr Millis followPause = {120};     // between reports of a server that is busy
@@ -34,161 +29,6 @@
     return model.m_text + "/" + adapter.m_text;
 }
 
-// --- the lease ---
-
-/// One machine, as the lease knows it: a new machine may get the name of an old one.
-HostName machineOf(const Gateway &gateway)
-{
-    return {gateway.m_settings.m_host.m_text + "@" + gateway.m_settings.m_peer.m_ip};
-}
-
-boost::json::value writeLease(const LeaseRecord &record)
-{
-    return boost::json::object{{"holder", record.m_holder.m_text},
-                               {"run", record.m_run},
-                               {"number", record.m_fence}};
-}
-
-LeaseRecord readLease(const boost::json::value &content)
-{
-    LeaseRecord record;
-    if (!content.is_object())
-        return record;
-    const auto &fields = content.get_object();
-    const auto *holder = fields.if_contains("holder");
-    const auto *run = fields.if_contains("run");
-    const auto *fence = fields.if_contains("number");
-    if (holder && holder->is_string())
-        record.m_holder.m_text = std::string(holder->get_string());
-    if (run && run->is_string())
-        record.m_run = std::string(run->get_string());
-    if (fence && fence->is_number())
-        record.m_fence = fence->to_number<std::uint64_t>();
-    return record;
-}
-
-void seeObject(Gateway &gateway, const StoredObject &object)
-{
-    seeLease(gateway.m_lease, readLease(object.m_content), object.m_revision, now(gateway));
-}
-
-void loseLease(Gateway &gateway, const char *why)
-{
-    if (gateway.m_lease.m_fence == 0)
-        return;
-    logWarning("lease_lost", {{"fence", std::to_string(gateway.m_lease.m_fence)}, {"why", why}});
-    dropLease(gateway.m_lease);
-    gateway.m_placement = HolderState();
-    if (gateway.m_holder == gateway.m_settings.m_host)
-        gateway.m_holder = {};
-}
-
-/// Writes a record over the one last seen, or creates it.
-asio::awaitable<StoreReply> writeRecord(Gateway &gateway, const LeaseRecord &record)
-{
-    const auto content = writeLease(record);
-    HttpRequest request = gateway.m_lease.m_anySeen
-        ? gateway.m_protocol->replaceObject(ObjectKind::Lease, leaseName,
-                                            gateway.m_lease.m_revision, content)
-        : gateway.m_protocol->createObject(ObjectKind::Lease, leaseName, content);
-    co_return co_await changeStore(gateway, "lease", std::move(request));
-}
-
-asio::awaitable<void> renewLease(Gateway &gateway)
-{
-    const Millis began = now(gateway);
-    const LeaseRecord record
-        = {machineOf(gateway), gateway.m_run, gateway.m_lease.m_fence};
-    // A record that changes nothing keeps its revision, and others would see no renewal.
-    LeaseRecord fresh = record;
-    fresh.m_run += "/" + std::to_string(began.m_count);
-    const StoreReply reply = co_await writeRecord(gateway, fresh);
-    if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
-        holdLease(gateway.m_lease, gateway.m_leaseTiming, fresh, reply.m_object->m_revision, began,
-                  now(gateway));
-        co_return;
-    }
-    if (reply.m_outcome == StoreOutcome::Conflict && reply.m_object) {
-        const LeaseRecord other = readLease(reply.m_object->m_content);
-        if (other.m_holder == record.m_holder && other.m_fence == record.m_fence) {
-            // An earlier renewal of ours whose answer was lost.
-            seeObject(gateway, *reply.m_object);
-            co_return;
-        }
-        seeObject(gateway, *reply.m_object);
-        loseLease(gateway, "another_record");
-    } else if (reply.m_outcome == StoreOutcome::Missing) {
-        gateway.m_lease.m_anySeen = false;
-    }
-}
-
-asio::awaitable<void> takeLease(Gateway &gateway)
-{
-    const Millis began = now(gateway);
-    LeaseRecord record = {machineOf(gateway), gateway.m_run, 1};
-    if (gateway.m_lease.m_anySeen)
-        record.m_fence = gateway.m_lease.m_seen.m_fence + 1;
-    const StoreReply reply = co_await writeRecord(gateway, record);
-    if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
-        gateway.m_placement = HolderState();
-        holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision,
-                  began, now(gateway));
-        gateway.m_holder = gateway.m_settings.m_host;
-        gateway.m_holderHeard = now(gateway);
-        logEvent("lease_taken", {{"fence", std::to_string(record.m_fence)},
-                                 {"revision", std::to_string(reply.m_object->m_revision)}});
-        beatNow(gateway);
-        wake(*gateway.m_planNow);
-    } else if (reply.m_outcome == StoreOutcome::Conflict && reply.m_object) {
-        seeObject(gateway, *reply.m_object);
-    } else if (reply.m_outcome == StoreOutcome::Missing) {
-        gateway.m_lease.m_anySeen = false;
-    }
-}
-
-/// Looks at the record in the store, and notes since when it stands unchanged.
-asio::awaitable<void> lookAtLease(Gateway &gateway)
-{
-    HttpRequest request = gateway.m_protocol->getObject(ObjectKind::Lease, leaseName);
-    const StoreReply reply = co_await changeStore(gateway, "lease", std::move(request));
-    if (reply.m_outcome == StoreOutcome::Done && reply.m_object)
-        seeObject(gateway, *reply.m_object);
-    else if (reply.m_outcome == StoreOutcome::Missing)
-        gateway.m_lease.m_anySeen = false;
-}
-
-bool holderHeard(const Gateway &gateway)
-{
-    return !gateway.m_holder.m_text.empty() && gateway.m_holder != gateway.m_settings.m_host
-        && now(gateway) - gateway.m_holderHeard < holderSilent;
-}
-
-/// One step of a host without the lease.
-asio::awaitable<void> seekLease(Gateway &gateway)
-{
-    if (holderHeard(gateway) || gateway.m_stopping || !isReady(gateway))
-        co_return;
-    co_await pauseFor(gateway, jittered(gateway, leaseLook));
-    if (holderHeard(gateway))
-        co_return;
-    const std::uint64_t before = gateway.m_lease.m_revision;
-    co_await lookAtLease(gateway);
-    if (!gateway.m_lease.m_anySeen) {
-        co_await takeLease(gateway);
-        co_return;
-    }
-    if (gateway.m_lease.m_revision != before)
-        logEvent("lease_seen", {{"holder", gateway.m_lease.m_seen.m_holder.m_text},
-                                {"revision", std::to_string(gateway.m_lease.m_revision)}});
-    const Millis at
-        = takeableAt(gateway.m_lease, gateway.m_leaseTiming, machineOf(gateway));
-    const Millis left = at - now(gateway);
-    if (left.m_count > 0)
-        co_await sleepUntilWoken(*gateway.m_leaseNow, left);
-    if (!holderHeard(gateway) && !gateway.m_stopping && now(gateway) >= at)
-        co_await takeLease(gateway);
-}
-
 // --- following servers ---
 
 FollowedServer *followed(Gateway &gateway, const InstanceId &id)
@@ -595,39 +435,6 @@
 
 } // namespace
 
-bool holdsLease(const Gateway &gateway)
-{
-    return mayOrder(gateway.m_lease, gateway.m_leaseTiming, now(gateway));
-}
-
-asio::awaitable<void> keepLease(Gateway &gateway)
-{
-    // Spread the hosts that start at once, so that one writes and the others hear of it.
-    co_await pauseFor(gateway, jittered(gateway, {400}));
-    while (true) {
-        if (gateway.m_lease.m_fence == 0) {
-            co_await seekLease(gateway);
-        } else if (!holdsLease(gateway)) {
-            loseLease(gateway, "not_renewed_in_time");
-        } else if (!gateway.m_stopping) {
-            const Millis sentAt = gateway.m_lease.m_validUntil - gateway.m_leaseTiming.m_length;
-            if (now(gateway) - sentAt >= gateway.m_leaseTiming.m_renew)
-                co_await renewLease(gateway);
-        }
-        co_await sleepUntilWoken(*gateway.m_leaseNow, leaseLook);
-    }
-}
-
-asio::awaitable<void> releaseLease(Gateway &gateway)
-{
-    if (gateway.m_lease.m_fence == 0)
-        co_return;
-    const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fence};
-    loseLease(gateway, "stopping");
-    const StoreReply reply = co_await writeRecord(gateway, record);
-    logEvent("lease_released", {{"done", reply.m_outcome == StoreOutcome::Done ? "yes" : "no"}});
-}
-
 asio::awaitable<void> runPlacement(Gateway &gateway)
 {
     while (true) {
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -20,6 +20,7 @@
 constexpr Millis tellPeriod = {300};  // to the lease holder, while there is something to tell
 constexpr Millis tellPause = {4};     // between two tellings
 constexpr Millis silentAfter = {1'500}; // a host unheard for so long gets no new callers
+constexpr Millis strangerTime = {10'000}; // after a stranger was heard nothing is promised
 constexpr Millis missingFor = {1'900};  // see takeList()
 constexpr Millis rateTime = {4'000};    // over which request rates decay
 constexpr double leastRate = 0.02;      // requests a second; below it a model isn't told
@@ -40,6 +41,11 @@
     beat.run = gateway.m_run;
     beat.ready = isReady(gateway);
     beat.fence = holdsLease(gateway) ? gateway.m_lease.m_fence : 0;
+    if (beat.fence > 0) {
+        beat.lease_revision = gateway.m_lease.m_revision;
+        const Millis left = gateway.m_lease.m_validUntil - now(gateway);
+        beat.lease_left = static_cast<std::int32_t>(left.m_count);
+    }
     beat.routes = gateway.m_routes ? gateway.m_routes->m_version : 0;
     beat.servers_digest = digestOf(gateway.m_roster);
     beat.servers_revision = gateway.m_roster.m_revision;
@@ -83,12 +89,64 @@
     return word;
 }
 
+/// A host that the register didn't show us was heard: it could not be asked.
+bool strangerLately(const Gateway &gateway)
+{
+    return now(gateway) - gateway.m_strangerHeard < strangerTime;
+}
+
+/// The holder tells how long its record is good for, so that a successor need not wait for that
+/// from its first look at the store.
+void takeHolderBeat(Gateway &gateway, const Peer &peer, const wire::BeatT &beat)
+{
+    const HostName host = {beat.host};
+    const Millis time = now(gateway);
+    if (gateway.m_holder != host)
+        logEvent("holder_heard", {{"of", beat.host}, {"fence", std::to_string(beat.fence)}});
+    gateway.m_holder = host;
+    gateway.m_holderHeard = time;
+    const LeaseRecord record = {machineOf(host, peer.m_entry.m_peer), beat.run, beat.fence};
+    const Millis since = time + Millis{beat.lease_left} - gateway.m_leaseTiming.m_length;
+    seeLease(gateway.m_lease, record, beat.lease_revision, since);
+}
+
+/// Grants the holder more time, if it asked all the hosts that we know.
+void answerAsk(Gateway &gateway, const Peer &peer, const wire::BeatT &beat)
+{
+    const std::set<std::string> asked(beat.ask_hosts.begin(), beat.ask_hosts.end());
+    bool all = asked.contains(gateway.m_settings.m_host.m_text) && !strangerLately(gateway);
+    for (const auto &[host, other] : gateway.m_peers)
+        all = all && (host.m_text == beat.host || asked.contains(host.m_text));
+    if (!all || !promiseLease(gateway.m_lease, beat.fence, now(gateway)))
+        return;
+    wire::BeatT promise = makeBeat(gateway);
+    promise.promise = beat.ask;
+    sendTo(gateway, peer.m_entry.m_peer, packBeat(promise));
+}
+
+void takePromise(Gateway &gateway, const HostName &host, std::uint64_t number)
+{
+    LeaseAsk &ask = gateway.m_leaseAsk;
+    if (number != ask.m_number || ask.m_open.erase(host) == 0 || !ask.m_open.empty())
+        return;
+    if (gateway.m_lease.m_fence == 0 || strangerLately(gateway))
+        return;
+    const bool first = ask.m_asked + gateway.m_leaseTiming.m_renew * 2 > gateway.m_lease.m_validUntil;
+    extendLease(gateway.m_lease, gateway.m_leaseTiming, ask.m_asked);
+    if (first)
+        logEvent("lease_extended", {{"fence", std::to_string(gateway.m_lease.m_fence)},
+                                    {"hosts", std::to_string(gateway.m_peers.size())}});
+}
+
 void takeBeat(Gateway &gateway, const wire::BeatT &beat)
 {
     const HostName host = {beat.host};
     const auto found = gateway.m_peers.find(host);
-    if (found == gateway.m_peers.end())
+    if (found == gateway.m_peers.end()) {
+        if (host != gateway.m_settings.m_host)
+            gateway.m_strangerHeard = now(gateway);
         return; // not registered, or not yet known to be
+    }
     Peer &peer = found->second;
     const Millis time = now(gateway);
     if (peer.m_ready != beat.ready)
@@ -96,13 +154,12 @@
     peer.m_heard = time;
     peer.m_ready = beat.ready;
     peer.m_fence = beat.fence;
-    if (beat.fence > 0) {
-        if (gateway.m_holder != host)
-            logEvent("holder_heard",
-                     {{"of", beat.host}, {"fence", std::to_string(beat.fence)}});
-        gateway.m_holder = host;
-        gateway.m_holderHeard = time;
-    }
+    if (beat.fence > 0)
+        takeHolderBeat(gateway, peer, beat);
+    if (beat.ask > 0)
+        answerAsk(gateway, peer, beat);
+    if (beat.promise > 0)
+        takePromise(gateway, host, beat.promise);
     if (beat.audited)
         gateway.m_auditHeard = time;
     catchUp(gateway, beat.routes, beat.servers_digest, beat.servers_revision);
@@ -277,6 +334,22 @@
     sendToAll(gateway, beat);
 }
 
+void askForLease(Gateway &gateway)
+{
+    LeaseAsk &ask = gateway.m_leaseAsk;
+    ask.m_number += 1;
+    ask.m_asked = now(gateway);
+    ask.m_open.clear();
+    wire::BeatT beat = makeBeat(gateway);
+    beat.ask = ask.m_number;
+    beat.ask_hosts.push_back(gateway.m_settings.m_host.m_text);
+    for (const auto &[host, peer] : gateway.m_peers) {
+        ask.m_open.insert(host);
+        beat.ask_hosts.push_back(host.m_text);
+    }
+    sendToAll(gateway, beat);
+}
+
 int hostRank(const Gateway &gateway)
 {
     const HostName &self = gateway.m_settings.m_host;
