--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -16,6 +16,7 @@
 constexpr double runningCost = 3'000;  // ms; an unload waits until the runs of its model end
 constexpr double lastCopyCost = 400;   // ms; somebody may soon ask for what leaves
 constexpr double ratePrice = 4'000;    // ms for each request a second to the model that leaves
+constexpr double unloadCost = 350;     // ms that an unload takes
 constexpr double never = std::numeric_limits<double>::infinity();
 
 struct Planner
@@ -64,7 +65,6 @@
     return copies;
 }
 
-/// Whether adapter loads or unloads come first: their model is there, but has no place for them.
 int adaptersOn(const ServerWord &word)
 {
     std::size_t count = 0;
@@ -109,7 +109,7 @@
 {
     const ModelDemand *demand = demandFor(planner, model);
     const int copies = std::max(copiesOf(planner, model), 1);
-    double cost = 0;
+    double cost = unloadCost;
     if (runningOf(server, model) > 0)
         cost += runningCost;
     if (copies == 1)
