A server that is missing after an outage is gone 2 s after the store is back

At 15.01 s a server's entry was removed; since their last failed call was less than 5 s ago they kept it for another 1.9 s from when they noticed, and the drop came only with the next beat: the request arrived 2,131 ms after the entry was gone. Change: an entry counts as lapsed only up to 2 s after the store was back, and is out at that moment, whatever the loops do. Ruled out: late lists (they saw the entry gone at 15.23 s). Test: missingServersAreGoneTwoSecondsAfterTheStoreIsBack.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -167,8 +167,8 @@
     Millis m_entryHeard; // when m_server last changed
     std::optional<ServerWord> m_notice; // from the lease holder, newer than the entry
     Millis m_noticeHeard;               // valid if m_notice
-    Millis m_missingSince;              // valid if m_missing
     bool m_missing = false; // gone from the list, while the store just came back
+    Millis m_missingUntil;  // valid if m_missing: from then on the server is gone
     int m_inFlight = 0;     // requests of this host
     ServerLoad m_load;      // of its last answer
     Millis m_loadHeard;     // when
@@ -196,11 +196,11 @@
 /// Takes a notice of the lease holder about a server; false if it is older than what is known.
 bool takeNotice(Roster &roster, const InstanceId &server, const ServerWord &word, Millis time);
 
-/// Takes a complete list. Servers that it lacks are dropped; or, after an outage of the store,
-/// kept as missing until dropMissing().
-void takeList(Roster &roster, const std::vector<BackendServer> &servers, bool afterOutage,
-              Millis time);
-void dropMissing(Roster &roster, Millis missingFor, Millis time);
+/// The list lacks a server, or says that it is gone. Entries lapse in an outage of the store and
+/// are back soon after it: until `lapseEnd` a server that didn't say that it leaves is kept. False:
+/// it was dropped, or not known.
+bool loseEntry(Roster &roster, const InstanceId &server, Millis lapseEnd, Millis time);
+void dropMissing(Roster &roster, Millis time);
 
 /// Tells rosters apart by which servers there are, which start of them, and which are leaving.
 std::uint64_t digestOf(const Roster &roster);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -83,8 +83,8 @@
 /// How the store has been answering.
 struct StoreHealth
 {
-    Millis m_troubleAt = {-1'000'000}; // last failed call
-    bool m_away = false;               // the last call failed
+    bool m_away = false;              // the last call failed
+    Millis m_backAt = {-1'000'000};   // when it answered again after that
 };
 
 /// The holder's last question to all other hosts. Valid if m_number is above 0.
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -21,7 +21,6 @@
 constexpr Millis tellPause = {4};     // between two tellings
 constexpr Millis silentAfter = {1'500}; // a host unheard for so long gets no new callers
 constexpr Millis strangerTime = {10'000}; // after a stranger was heard nothing is promised
-constexpr Millis missingFor = {1'900};  // see takeList()
 constexpr Millis rateTime = {4'000};    // over which request rates decay
 constexpr double leastRate = 0.02;      // requests a second; below it a model isn't told
 constexpr int beatTargets = 8;          // hosts that hear each periodic beat
@@ -376,7 +375,7 @@
                                       static_cast<std::ptrdiff_t>(turn++ % peers));
             sendTo(gateway, at->second.m_entry.m_peer, bytes);
         }
-        dropMissing(gateway.m_roster, missingFor, now(gateway));
+        dropMissing(gateway.m_roster, now(gateway));
         co_await pauseFor(gateway, jittered(gateway, beatPeriod));
     }
 }
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -58,32 +58,25 @@
     return true;
 }
 
-void takeList(Roster &roster, const std::vector<BackendServer> &servers, bool afterOutage,
-              Millis time)
+bool loseEntry(Roster &roster, const InstanceId &server, Millis lapseEnd, Millis time)
 {
-    std::set<InstanceId> listed;
-    for (const BackendServer &server : servers) {
-        takeEntry(roster, server, time);
-        listed.insert(server.m_id);
-    }
-    for (auto at = roster.m_servers.begin(); at != roster.m_servers.end();) {
-        KnownServer &known = at->second;
-        if (listed.contains(at->first)) {
-            ++at;
-        } else if (afterOutage && !known.m_server.m_leaving) {
-            known.m_missingSince = known.m_missing ? known.m_missingSince : time;
-            known.m_missing = true;
-            ++at;
-        } else {
-            at = roster.m_servers.erase(at);
-        }
+    const auto found = roster.m_servers.find(server);
+    if (found == roster.m_servers.end())
+        return false;
+    KnownServer &known = found->second;
+    if (time >= lapseEnd || known.m_server.m_leaving) {
+        roster.m_servers.erase(found);
+        return false;
     }
+    known.m_missing = true;
+    known.m_missingUntil = lapseEnd;
+    return true;
 }
 
-void dropMissing(Roster &roster, Millis missingFor, Millis time)
+void dropMissing(Roster &roster, Millis time)
 {
     std::erase_if(roster.m_servers, [&](const auto &entry) {
-        return entry.second.m_missing && time - entry.second.m_missingSince >= missingFor;
+        return entry.second.m_missing && time >= entry.second.m_missingUntil;
     });
 }
 
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -12,7 +12,7 @@
 constexpr Millis longestPause = {1'500};
 constexpr Millis betweenWatches = {5};     // lets a series of changes come as one answer
 constexpr Millis emptyWatchPause = {250};  // after an answer that came early and empty
-constexpr Millis outageEcho = {5'000};     // entries may have lapsed in an outage this recent
+constexpr Millis lapseTime = {2'000};      // entries that lapsed in an outage are back by then
 constexpr Millis auditPeriod = {700}; // after any host's audit; well within the time that a
                                       // change may take to be in force everywhere
 constexpr Millis auditStep = {120};   // by rank, so that one host audits
@@ -40,20 +40,15 @@
 {
     StoreHealth &health = gateway.m_storeHealth;
     countPlatformCall(gateway.m_metrics, what, answered);
-    if (!answered)
-        health.m_troubleAt = now(gateway);
     if (answered == !health.m_away)
         return;
     health.m_away = !answered;
-    if (answered)
-        logEvent("store_back", {{"call", what}});
-    else
+    if (!answered) {
         logWarning("store_lost", {{"call", what}, {"why", detail}});
-}
-
-bool outageLately(const Gateway &gateway)
-{
-    return now(gateway) - gateway.m_storeHealth.m_troubleAt < outageEcho;
+        return;
+    }
+    health.m_backAt = now(gateway);
+    logEvent("store_back", {{"call", what}});
 }
 
 void takeRoutes(Gateway &gateway, const StoredObject &object)
@@ -92,17 +87,13 @@
     const InstanceId id = {object.m_name};
     Roster &roster = gateway.m_roster;
     if (object.m_deleted) {
-        const auto found = roster.m_servers.find(id);
-        if (found == roster.m_servers.end())
+        if (!roster.m_servers.contains(id))
             return;
-        if (outageLately(gateway) && !found->second.m_server.m_leaving) {
-            found->second.m_missing = true;
-            found->second.m_missingSince = now(gateway);
+        const Millis lapseEnd = gateway.m_storeHealth.m_backAt + lapseTime;
+        if (loseEntry(roster, id, lapseEnd, now(gateway)))
             logServer("server_missing", id, object.m_revision, "entry_lapsed_in_outage");
-            return;
-        }
-        roster.m_servers.erase(found);
-        logServer("server_gone", id, object.m_revision, "entry_removed");
+        else
+            logServer("server_gone", id, object.m_revision, "entry_removed");
         return;
     }
     const auto read = gateway.m_protocol->readServer(object.m_name, object.m_content);
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -37,7 +37,7 @@
     const BackendServer &server = known.m_server;
     if (server.m_service != input.m_service || server.m_leaving)
         return false;
-    if (input.m_tried.contains(server.m_id))
+    if (input.m_tried.contains(server.m_id) || (known.m_missing && time >= known.m_missingUntil))
         return false;
     if (input.m_model.m_text.empty())
         return true;
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(restartForgetsWhatWasKnown);
     CPPUNIT_TEST(noticeOfAnotherStartIsIgnored);
     CPPUNIT_TEST(entriesThatLapsedInAnOutageAreKeptForAMoment);
+    CPPUNIT_TEST(missingServersAreGoneTwoSecondsAfterTheStoreIsBack);
     CPPUNIT_TEST(digestTellsLeavingAndRestartedServersApart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,15 +266,30 @@
         BackendServer leaving = makeServer("leaving", "north", {});
         leaving.m_leaving = true;
         takeEntry(roster, leaving, start);
-        takeList(roster, {}, true, start);
+        const Millis lapseEnd = start + Millis{2'000};
+        CPPUNIT_ASSERT(loseEntry(roster, {"lapsed"}, lapseEnd, start));
+        CPPUNIT_ASSERT(!loseEntry(roster, {"leaving"}, lapseEnd, start));
         CPPUNIT_ASSERT_EQUAL(std::string("lapsed"), chosen(roster, choice("")));
-        CPPUNIT_ASSERT(!roster.m_servers.contains({"leaving"}));
-        dropMissing(roster, {1'900}, start + Millis{1'899});
-        CPPUNIT_ASSERT(roster.m_servers.contains({"lapsed"}));
-        dropMissing(roster, {1'900}, start + Millis{1'900});
+        takeEntry(roster, makeServer("lapsed", "north", {}), start + Millis{500}); // it is back
+        dropMissing(roster, lapseEnd);
+        CPPUNIT_ASSERT_EQUAL(std::string("lapsed"), chosen(roster, choice(""), lapseEnd));
+    }
+
+    /// Hunted: a server left 3.7 s after the store was back for three hosts; they kept it for
+    /// another 2 s from when they noticed.
+    void missingServersAreGoneTwoSecondsAfterTheStoreIsBack()
+    {
+        Roster roster;
+        takeEntry(roster, makeServer("e", "north", {}), start);
+        const Millis lapseEnd = start + Millis{2'000};
+        CPPUNIT_ASSERT(loseEntry(roster, {"e"}, lapseEnd, start + Millis{1'900}));
+        CPPUNIT_ASSERT(loseEntry(roster, {"e"}, lapseEnd, start + Millis{1'950})); // noticed twice
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), chosen(roster, choice(""), start + Millis{1'999}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), chosen(roster, choice(""), lapseEnd));
+        dropMissing(roster, lapseEnd);
         CPPUNIT_ASSERT(roster.m_servers.empty());
-        takeEntry(roster, makeServer("lapsed", "north", {}), start);
-        takeList(roster, {}, false, start);
+        takeEntry(roster, makeServer("e", "north", {}), start);
+        CPPUNIT_ASSERT(!loseEntry(roster, {"e"}, lapseEnd, start + Millis{3'700}));
         CPPUNIT_ASSERT(roster.m_servers.empty());
     }
 
