--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -19,11 +19,6 @@
 
 constexpr Millis startLimit = {15'000};
 
-std::string binary(const std::string &name)
-{
-    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
-}
-
 std::uint16_t freePort()
 {
     static std::uint16_t next = 21'000;
@@ -42,11 +37,6 @@
     }
 }
 
-Endpoint freeEndpoint()
-{
-    return {"127.0.0.1", freePort()};
-}
-
 pid_t spawnTo(const std::vector<std::string> &command, const std::string &output)
 {
     std::vector<char *> arguments;
@@ -172,6 +162,16 @@
 
 } // namespace
 
+std::string binary(const std::string &name)
+{
+    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
+}
+
+Endpoint freeEndpoint()
+{
+    return {"127.0.0.1", freePort()};
+}
+
 Fleet::Fleet()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -87,6 +87,10 @@
 void setFault(const Process &standin, const std::string &query);
 
 /// True once it holds; false if it didn't within the limit.
+/// A program of this build.
+std::string binary(const std::string &name);
+Endpoint freeEndpoint();
+
 bool eventually(const std::function<bool()> &holds, Millis limit);
 
 int runsAt(const Process &standin, const std::string &request);
