--- a/daemons/apricotgw.cpp
+++ b/daemons/apricotgw.cpp
@@ -61,8 +61,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("apricotgw", "Serves callers before backend servers that register");
-    options.add_options()("settings", "this host's settings file", cxxopts::value<std::string>())(
-        "help", "show this help");
+    options.add_options()("settings", "this host's settings file",
+                          cxxopts::value<std::string>())("help", "show this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -35,8 +35,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    bool m_pooled = false; // was idle in the pool before this use
-    bool m_whole = false;  // the answer was read to its end
+    bool m_pooled = false;                             // was idle in the pool before this use
+    bool m_whole = false;                              // the answer was read to its end
     std::chrono::steady_clock::time_point m_idleUntil; // valid in the pool
 };
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -49,11 +49,11 @@
     std::string m_host;       // of the Host field, without a port
     std::string m_pathPrefix; // begins and ends with a slash
     Repeat m_repeat = Repeat::AtMostOnce;
-    bool m_stream = false;        // answered by server-sent events
-    Millis m_timeout = {30'000};  // ms from the request to the end of its answer
-    Millis m_target = {1'000};    // ms within which an answer, or a first event, is on time
-    int m_rank = 5;               // 0 is the most urgent
-    int m_maxAttempts = 1;        // servers that may run one request
+    bool m_stream = false;       // answered by server-sent events
+    Millis m_timeout = {30'000}; // ms from the request to the end of its answer
+    Millis m_target = {1'000};   // ms within which an answer, or a first event, is on time
+    int m_rank = 5;              // 0 is the most urgent
+    int m_maxAttempts = 1;       // servers that may run one request
     std::vector<WeightedService> m_services; // at least one
 };
 
@@ -71,10 +71,10 @@
 /// What all model servers of a service have in common.
 struct EngineLimits
 {
-    int m_slots = 1;              // requests at once
-    double m_weightsMb = 0;       // MB for weights and adapters together
-    int m_adapterSlots = 0;       // adapters loaded or being loaded
-    double m_loadsPerSecond = 1;  // from the weight store, over all servers
+    int m_slots = 1;             // requests at once
+    double m_weightsMb = 0;      // MB for weights and adapters together
+    int m_adapterSlots = 0;      // adapters loaded or being loaded
+    double m_loadsPerSecond = 1; // from the weight store, over all servers
     std::map<ModelName, EngineModel> m_models;
 };
 
@@ -130,7 +130,7 @@
 /// What a server says of itself, in the store or in a report.
 struct ServerWord
 {
-    std::int64_t m_born = 0; // Unix ms of its start; an id may be used for several starts
+    std::int64_t m_born = 0;           // Unix ms of its start; an id may be used for several starts
     std::uint64_t m_sequence = 0;      // orders accepted since its start; 0 in the list's entries
     bool m_busy = false;               // loads or unloads a model
     std::vector<LoadedModel> m_models; // ready
@@ -146,7 +146,7 @@
     ServiceName m_service;
     Endpoint m_endpoint;
     DataCentre m_dataCentre;
-    int m_slots = 1;       // requests at once
+    int m_slots = 1;        // requests at once
     bool m_leaving = false; // gets no new request
     ServerWord m_word;
 };
@@ -164,19 +164,19 @@
 struct KnownServer
 {
     BackendServer m_server;
-    Millis m_entryHeard; // when m_server last changed
+    Millis m_entryHeard;                // when m_server last changed
     std::optional<ServerWord> m_notice; // from the lease holder, newer than the entry
     Millis m_noticeHeard;               // valid if m_notice
-    bool m_missing = false; // gone from the list, while the store just came back
-    Millis m_missingUntil;  // valid if m_missing: from then on the server is gone
-    int m_inFlight = 0;     // requests of this host
-    ServerLoad m_load;      // of its last answer
-    Millis m_loadHeard;     // when
-    int m_loadInFlight = 0; // m_inFlight then
-    Millis m_avoidUntil;    // after a failure: only if no other server can
-    int m_failures = 0;     // in a row
-    std::map<ModelName, int> m_running;              // requests of this host, by model
-    std::map<std::string, Millis> m_refusedUntil;    // "model/adapter" that it just refused
+    bool m_missing = false;             // gone from the list, while the store just came back
+    Millis m_missingUntil;              // valid if m_missing: from then on the server is gone
+    int m_inFlight = 0;                 // requests of this host
+    ServerLoad m_load;                  // of its last answer
+    Millis m_loadHeard;                 // when
+    int m_loadInFlight = 0;             // m_inFlight then
+    Millis m_avoidUntil;                // after a failure: only if no other server can
+    int m_failures = 0;                 // in a row
+    std::map<ModelName, int> m_running; // requests of this host, by model
+    std::map<std::string, Millis> m_refusedUntil; // "model/adapter" that it just refused
 };
 
 /// All servers that a host knows.
@@ -214,10 +214,10 @@
 /// What a caller's request says besides its bytes.
 struct CallTerms
 {
-    std::string m_id;              // of this attempt
-    ModelName m_model;             // empty: a plain service
-    AdapterName m_adapter;         // empty: the model itself
-    std::string m_sharedPrompt;    // names the parts that other requests share; empty: none
+    std::string m_id;                 // of this attempt
+    ModelName m_model;                // empty: a plain service
+    AdapterName m_adapter;            // empty: the model itself
+    std::string m_sharedPrompt;       // names the parts that other requests share; empty: none
     std::optional<Millis> m_patience; // how long the caller waits
 };
 
@@ -225,28 +225,28 @@
 struct ForwardTerms
 {
     InstanceId m_server;
-    Millis m_patience;                 // what is left
-    std::optional<int> m_rank;         // 0 is the most urgent
+    Millis m_patience;                        // what is left
+    std::optional<int> m_rank;                // 0 is the most urgent
     std::optional<std::string> m_resumeAfter; // id of the last event that the caller has
 };
 
 /// What a server's answer says besides its bytes.
 struct AnswerTerms
 {
-    std::string m_id;       // of the request that it answers; empty: none said
-    bool m_signed = false;  // comes from a server that ran or judged the request
-    bool m_notRun = false;  // the server says that it did not run the request
+    std::string m_id;           // of the request that it answers; empty: none said
+    bool m_signed = false;      // comes from a server that ran or judged the request
+    bool m_notRun = false;      // the server says that it did not run the request
     bool m_misdirected = false; // another server, or the model isn't there
-    bool m_encoded = false; // not the bytes the server made
-    bool m_events = false;  // a stream of events
+    bool m_encoded = false;     // not the bytes the server made
+    bool m_events = false;      // a stream of events
     ServerLoad m_load;
 };
 
 /// Request counts of the last seconds; retries may be a share of the requests and a few more.
 struct RetryBudget
 {
-    double m_ratio = 0.1;    // retries for each request
-    double m_slack = 5;      // retries beyond that
+    double m_ratio = 0.1; // retries for each request
+    double m_slack = 5;   // retries beyond that
     Millis m_window = {10'000};
     std::deque<Millis> m_requests;
     std::deque<Millis> m_retries;
@@ -263,9 +263,9 @@
     ServiceName m_service;
     ModelName m_model; // empty: any server of the service
     AdapterName m_adapter;
-    std::string m_affinity;         // the same text prefers the same server; empty: no preference
+    std::string m_affinity; // the same text prefers the same server; empty: no preference
     DataCentre m_here;
-    std::set<InstanceId> m_tried;   // by this request
+    std::set<InstanceId> m_tried; // by this request
 };
 
 struct ServerChoice
@@ -309,19 +309,19 @@
 struct LeaseRecord
 {
     HostName m_holder;
-    std::string m_run;           // of the holder's process
-    std::uint64_t m_fence = 0;   // grows with each holder
+    std::string m_run;         // of the holder's process
+    std::uint64_t m_fence = 0; // grows with each holder
 };
 
 /// One host's view of the lease. Invariant: m_validUntil never counts from a renewal that neither
 /// the store acknowledged nor all other hosts granted.
 struct Lease
 {
-    std::uint64_t m_fence = 0;   // of ours; 0: never held
-    Millis m_validUntil;         // orders may be sent before this
+    std::uint64_t m_fence = 0;    // of ours; 0: never held
+    Millis m_validUntil;          // orders may be sent before this
     std::uint64_t m_revision = 0; // of the record as last seen
-    LeaseRecord m_seen;          // the record as last seen
-    Millis m_seenSince;          // its holder's time counts from here at the latest
+    LeaseRecord m_seen;           // the record as last seen
+    Millis m_seenSince;           // its holder's time counts from here at the latest
     bool m_anySeen = false;
     Millis m_promisedAt = {-1'000'000}; // when this host last granted the holder more time
     Millis m_doubtUntil = {-1'000'000}; // a record of ours may yet be written: no promises
@@ -373,10 +373,10 @@
     CommandKind m_kind = CommandKind::Load;
     InstanceId m_server;
     ModelName m_model;
-    AdapterName m_adapter;         // empty: the model itself
-    std::uint64_t m_sequence = 0;  // carried out only if the server has accepted so many orders
-    ModelName m_purpose;           // unload: makes room for this
-    bool m_fromStore = false;      // load: no copy on the server
+    AdapterName m_adapter;        // empty: the model itself
+    std::uint64_t m_sequence = 0; // carried out only if the server has accepted so many orders
+    ModelName m_purpose;          // unload: makes room for this
+    bool m_fromStore = false;     // load: no copy on the server
     const char *m_reason = "";
 };
 
@@ -385,9 +385,9 @@
 {
     InstanceId m_id;
     ServerWord m_word;
-    bool m_usable = true;    // false: leaving, unreachable, or an order is being carried out
+    bool m_usable = true;        // false: leaving, unreachable, or an order is being carried out
     bool m_sequenceKnown = true; // false: wait for a report before ordering
-    ModelName m_pending;     // load under way, or unload that makes room for it; empty: none
+    ModelName m_pending;         // load under way, or unload that makes room for it; empty: none
     std::map<ModelName, int> m_running; // requests, by model, over all hosts
 };
 
@@ -397,8 +397,8 @@
     std::vector<PlanServer> m_servers;
     std::vector<ModelDemand> m_demands;
     std::set<std::string> m_comingAdapters; // "server model/adapter"
-    int m_storeLoads = 0;      // under way
-    bool m_storeLoadDue = true; // the rate allows one more
+    int m_storeLoads = 0;                   // under way
+    bool m_storeLoadDue = true;             // the rate allows one more
 };
 
 /// The next orders, at most one for each server.
@@ -460,13 +460,13 @@
 };
 
 enum class CommandOutcome : std::uint8_t {
-    Accepted, // being carried out
-    Holds,    // was so already, or is done
-    Conflict, // another order runs, or the sequence differs
-    Fenced,   // a holder with a higher fencing number was there
-    Refused,  // the server can't
+    Accepted,  // being carried out
+    Holds,     // was so already, or is done
+    Conflict,  // another order runs, or the sequence differs
+    Fenced,    // a holder with a higher fencing number was there
+    Refused,   // the server can't
     Elsewhere, // another server has the address
-    Unknown,  // no answer
+    Unknown,   // no answer
 };
 
 struct AddressAsk
@@ -498,8 +498,7 @@
     std::variant<ObjectPage, StoreReply> (*readPage)(const HttpResponse &response);
     StoreReply (*readReply)(const HttpResponse &response);
     Result<RouteTable> (*readRoutes)(const boost::json::value &content);
-    Result<BackendServer> (*readServer)(const std::string &name,
-                                        const boost::json::value &content);
+    Result<BackendServer> (*readServer)(const std::string &name, const boost::json::value &content);
 
     // model servers
     HttpRequest (*askReport)();
@@ -517,17 +516,17 @@
 {
     HostName m_host;
     DataCentre m_dataCentre;
-    Endpoint m_caller;    // callers' requests
-    Endpoint m_ready;     // readiness and metrics
-    Endpoint m_directory; // address answers
-    Endpoint m_peer;      // UDP, other hosts
-    Endpoint m_platform;  // the store
-    Millis m_stopWithin = {8'000};   // a planned stop takes no longer
-    Millis m_leaseTurn = {3'000};    // orders of two hosts are at least this far apart
-    double m_retryRatio = 0.1;       // retries for each request, over all hosts
-    double m_retrySlack = 10;        // retries beyond that, over all hosts
+    Endpoint m_caller;             // callers' requests
+    Endpoint m_ready;              // readiness and metrics
+    Endpoint m_directory;          // address answers
+    Endpoint m_peer;               // UDP, other hosts
+    Endpoint m_platform;           // the store
+    Millis m_stopWithin = {8'000}; // a planned stop takes no longer
+    Millis m_leaseTurn = {3'000};  // orders of two hosts are at least this far apart
+    double m_retryRatio = 0.1;     // retries for each request, over all hosts
+    double m_retrySlack = 10;      // retries beyond that, over all hosts
     Millis m_retryWindow = {10'000};
-    Millis m_addressKeep = {2'000};  // how long callers keep an address answer
+    Millis m_addressKeep = {2'000}; // how long callers keep an address answer
 };
 
 std::variant<GatewaySettings, std::vector<FileFault>> readGatewaySettings(const std::string &path);
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
-constexpr Millis stopSlack = {900};    // a stop ends this much before it has to
-constexpr Millis stopLook = {40};      // between looks whether all is answered
+constexpr Millis stopSlack = {900};      // a stop ends this much before it has to
+constexpr Millis stopLook = {40};        // between looks whether all is answered
 constexpr std::int64_t addressLives = 3; // callers may keep an address so many times too long
 constexpr Millis storeDeadAfter = {1'200};
 constexpr Millis serverDeadAfter = {1'500};
@@ -26,8 +26,8 @@
         co_return;
     }
     const auto addresses = callerAddresses(gateway);
-    co_await sendWhole(exchange, gateway.m_protocol->writeAddresses(
-                                     addresses, gateway.m_settings.m_addressKeep));
+    co_await sendWhole(
+        exchange, gateway.m_protocol->writeAddresses(addresses, gateway.m_settings.m_addressKeep));
 }
 
 asio::awaitable<void> answerReady(Gateway &gateway, HttpExchange &exchange)
@@ -147,8 +147,8 @@
     auto failure = listenOn(gateway, settings.m_caller, relayCall, gateway.m_callerOptions,
                             gateway.m_callers);
     if (!failure)
-        failure = listenOn(gateway, settings.m_directory, answerDirectory, plain,
-                           gateway.m_directory);
+        failure
+            = listenOn(gateway, settings.m_directory, answerDirectory, plain, gateway.m_directory);
     if (!failure)
         failure = listenOn(gateway, settings.m_ready, answerReady, plain, gateway.m_ready);
     if (!failure)
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -43,9 +43,9 @@
 struct Want
 {
     std::list<WaitingCall> m_calls;
-    int m_running = 0;  // sent and not ended
-    double m_rate = 0;  // requests a second, decaying
-    Millis m_rateAt;    // when m_rate was right
+    int m_running = 0; // sent and not ended
+    double m_rate = 0; // requests a second, decaying
+    Millis m_rateAt;   // when m_rate was right
 };
 
 /// What another host last said.
@@ -65,10 +65,10 @@
 {
     ServerWord m_word;
     bool m_sequenceKnown = false;
-    bool m_inHand = false;  // a coroutine follows an order or a report of it
-    ModelName m_pending;    // see PlanServer
+    bool m_inHand = false; // a coroutine follows an order or a report of it
+    ModelName m_pending;   // see PlanServer
     Millis m_pendingSince;
-    Millis m_settledAt; // when a report last settled m_word
+    Millis m_settledAt;             // when a report last settled m_word
     std::set<std::string> m_coming; // "model/adapter"
 };
 
@@ -83,8 +83,8 @@
 /// How the store has been answering.
 struct StoreHealth
 {
-    bool m_away = false;              // the last call failed
-    Millis m_backAt = {-1'000'000};   // when it answered again after that
+    bool m_away = false;            // the last call failed
+    Millis m_backAt = {-1'000'000}; // when it answered again after that
 };
 
 /// The holder's last question to all other hosts. Valid if m_number is above 0.
@@ -93,6 +93,7 @@
     std::uint64_t m_number = 0;
     Millis m_asked;
     std::set<HostName> m_open; // hosts that did not grant it yet
+    bool m_extended = false;   // hosts granted time since the store last renewed the lease
 };
 
 struct Gateway
@@ -125,13 +126,14 @@
     std::unique_ptr<asio::ip::udp::socket> m_udp;
     HostName m_holder; // that said so last; empty: none
     Millis m_holderHeard;
-    Millis m_strangerHeard = {-1'000'000}; // a host that isn't in the register as we know it
-    std::uint64_t m_hostRevision = 0; // of our entry in the register; 0: none
+    std::map<HostName, Millis>
+        m_strangers;                    // ready hosts that the register doesn't show, when heard
+    std::uint64_t m_hostRevision = 0;   // of our entry in the register; 0: none
     std::unique_ptr<Sleeper> m_tellNow; // wakes the loop that tells the holder
 
     Lease m_lease;
     LeaseTiming m_leaseTiming;
-    bool m_renewing = false;   // a renewal is on its way to the store
+    bool m_renewing = false; // a renewal is on its way to the store
     LeaseAsk m_leaseAsk;
     HolderState m_placement;
     std::unique_ptr<Sleeper> m_planNow;
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -117,14 +117,15 @@
 
 void logOrder(const Gateway &gateway, const EngineCommand &command, CommandOutcome outcome)
 {
-    logEvent("order", {{"server", command.m_server.m_text},
-                       {"do", command.m_kind == CommandKind::Load ? "load" : "unload"},
-                       {"model", keyOf(command.m_model, command.m_adapter)},
-                       {"sequence", std::to_string(command.m_sequence)},
-                       {"fence", std::to_string(gateway.m_lease.m_fence)},
-                       {"why", command.m_reason},
-                       {"from_store", command.m_fromStore ? "yes" : "no"},
-                       {"outcome", toText(outcome)}});
+    logEvent("order",
+             {{"server", command.m_server.m_text},
+              {"do", command.m_kind == CommandKind::Load ? "load" : "unload"},
+              {"model", keyOf(command.m_model, command.m_adapter)},
+              {"sequence", std::to_string(command.m_sequence)},
+              {"fence", std::to_string(gateway.m_lease.m_fence)},
+              {"why", command.m_reason},
+              {"from_store", command.m_fromStore ? "yes" : "no"},
+              {"outcome", toText(outcome)}});
 }
 
 asio::awaitable<CommandOutcome> sendCommand(Gateway &gateway, const EngineCommand &command,
@@ -375,7 +376,7 @@
 }
 
 PlacementInput planInput(Gateway &gateway, const RoutedService &service,
-                    const std::map<WantKey, ModelDemand> &demands)
+                         const std::map<WantKey, ModelDemand> &demands)
 {
     PlacementInput input;
     input.m_limits = &*service.m_engine;
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -17,13 +17,13 @@
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
 
 constexpr Millis beatPeriod = {400};
-constexpr Millis tellPeriod = {300};  // to the lease holder, while there is something to tell
-constexpr Millis tellPause = {4};     // between two tellings
-constexpr Millis silentAfter = {1'500}; // a host unheard for so long gets no new callers
+constexpr Millis tellPeriod = {300};      // to the lease holder, while there is something to tell
+constexpr Millis tellPause = {4};         // between two tellings
+constexpr Millis silentAfter = {1'500};   // a host unheard for so long gets no new callers
 constexpr Millis strangerTime = {10'000}; // after a stranger was heard nothing is promised
-constexpr Millis rateTime = {4'000};    // over which request rates decay
-constexpr double leastRate = 0.02;      // requests a second; below it a model isn't told
-constexpr int beatTargets = 8;          // hosts that hear each periodic beat
+constexpr Millis rateTime = {4'000};      // over which request rates decay
+constexpr double leastRate = 0.02;        // requests a second; below it a model isn't told
+constexpr int beatTargets = 8;            // hosts that hear each periodic beat
 constexpr std::size_t datagramLimit = 60'000; // bytes
 
 std::string packBeat(const wire::BeatT &beat)
@@ -91,7 +91,9 @@
 /// A host that the register didn't show us was heard: it could not be asked.
 bool strangerLately(const Gateway &gateway)
 {
-    return now(gateway) - gateway.m_strangerHeard < strangerTime;
+    return std::any_of(
+        gateway.m_strangers.begin(), gateway.m_strangers.end(),
+        [&](const auto &stranger) { return now(gateway) - stranger.second < strangerTime; });
 }
 
 /// The holder tells how long its record is good for, so that a successor need not wait for that
@@ -130,11 +132,12 @@
         return;
     if (gateway.m_lease.m_fence == 0 || strangerLately(gateway))
         return;
-    const bool first = ask.m_asked + gateway.m_leaseTiming.m_renew * 2 > gateway.m_lease.m_validUntil;
     extendLease(gateway.m_lease, gateway.m_leaseTiming, ask.m_asked);
+    const bool first = !std::exchange(ask.m_extended, true);
     if (first)
-        logEvent("lease_extended", {{"fence", std::to_string(gateway.m_lease.m_fence)},
-                                    {"hosts", std::to_string(gateway.m_peers.size())}});
+        logEvent("lease_extended",
+                 {{"fence", std::to_string(gateway.m_lease.m_fence)},
+                  {"hosts", std::to_string(gateway.m_peers.size())}});
 }
 
 void takeBeat(Gateway &gateway, const wire::BeatT &beat)
@@ -142,8 +145,9 @@
     const HostName host = {beat.host};
     const auto found = gateway.m_peers.find(host);
     if (found == gateway.m_peers.end()) {
-        if (host != gateway.m_settings.m_host)
-            gateway.m_strangerHeard = now(gateway);
+        // A host that isn't ready takes no lease: it is starting or stopping.
+        if (host != gateway.m_settings.m_host && beat.ready)
+            gateway.m_strangers[host] = now(gateway);
         return; // not registered, or not yet known to be
     }
     Peer &peer = found->second;
@@ -168,8 +172,8 @@
         peer.m_usesHeard = time;
         for (const auto &entry : beat.wants) {
             const WantKey key = {{entry->service}, {entry->model}, {entry->adapter}};
-            ModelDemand demand = {key.m_model, key.m_adapter, entry->waiting,
-                                  {entry->oldest_ms}, entry->rate, entry->running};
+            ModelDemand demand = {key.m_model,        key.m_adapter, entry->waiting,
+                                  {entry->oldest_ms}, entry->rate,   entry->running};
             peer.m_wants[key] = std::move(demand);
         }
         for (const auto &entry : beat.uses)
@@ -195,8 +199,7 @@
         entry->model = key.m_model.m_text;
         entry->adapter = key.m_adapter.m_text;
         entry->waiting = static_cast<int>(want.m_calls.size());
-        entry->oldest_ms
-            = want.m_calls.empty() ? 0 : (time - want.m_calls.front().m_since).m_count;
+        entry->oldest_ms = want.m_calls.empty() ? 0 : (time - want.m_calls.front().m_since).m_count;
         entry->rate = static_cast<float>(rate);
         entry->running = want.m_running;
         beat.wants.push_back(std::move(entry));
@@ -275,8 +278,8 @@
 
 asio::awaitable<void> unregisterHost(Gateway &gateway)
 {
-    HttpRequest request = gateway.m_protocol->deleteObject(ObjectKind::Hosts,
-                                                           gateway.m_settings.m_host.m_text);
+    HttpRequest request
+        = gateway.m_protocol->deleteObject(ObjectKind::Hosts, gateway.m_settings.m_host.m_text);
     const StoreReply reply = co_await changeStore(gateway, "unregister", std::move(request));
     if (reply.m_outcome != StoreOutcome::Done)
         logWarning("unregister_failed", {{"why", reply.m_detail}});
@@ -297,6 +300,7 @@
         logWarning("host_unreadable", {{"of", object.m_name}});
         return;
     }
+    gateway.m_strangers.erase(host);
     Peer &peer = gateway.m_peers[host];
     if (peer.m_entry.m_run != entry->m_run) {
         peer = Peer();
@@ -371,8 +375,8 @@
         const std::size_t peers = gateway.m_peers.size();
         const std::size_t targets = std::min<std::size_t>(peers, beatTargets);
         for (std::size_t sent = 0; sent < targets; ++sent) {
-            const auto at = std::next(gateway.m_peers.begin(),
-                                      static_cast<std::ptrdiff_t>(turn++ % peers));
+            const auto at
+                = std::next(gateway.m_peers.begin(), static_cast<std::ptrdiff_t>(turn++ % peers));
             sendTo(gateway, at->second.m_entry.m_peer, bytes);
         }
         dropMissing(gateway.m_roster, now(gateway));
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -13,9 +13,9 @@
 constexpr Millis leaseLook = {100};      // between looks at the lease's state
 constexpr Millis leaseTurn = {150};      // by rank, so that one host writes
 constexpr Millis startSpread = {400};
-constexpr Millis renewalLate = {300};    // a renewal that takes longer: ask the other hosts
-constexpr Millis askPause = {250};       // between two asks
-constexpr Millis lateWrite = {10'000};   // a write without an answer may be done so late
+constexpr Millis renewalLate = {300};  // a renewal that takes longer: ask the other hosts
+constexpr Millis askPause = {250};     // between two asks
+constexpr Millis lateWrite = {10'000}; // a write without an answer may be done so late
 
 HostName machineOf(const Gateway &gateway)
 {
@@ -24,9 +24,8 @@
 
 boost::json::value writeLease(const LeaseRecord &record)
 {
-    return boost::json::object{{"holder", record.m_holder.m_text},
-                               {"run", record.m_run},
-                               {"number", record.m_fence}};
+    return boost::json::object{
+        {"holder", record.m_holder.m_text}, {"run", record.m_run}, {"number", record.m_fence}};
 }
 
 LeaseRecord readLease(const boost::json::value &content)
@@ -67,8 +66,9 @@
 {
     const Millis began = now(gateway);
     // A record that changes nothing would keep its revision: the run tells renewals apart.
-    const LeaseRecord record = {machineOf(gateway), gateway.m_run + "/" + std::to_string(began.m_count),
-                                gateway.m_lease.m_fence};
+    const LeaseRecord record
+        = {machineOf(gateway), gateway.m_run + "/" + std::to_string(began.m_count),
+           gateway.m_lease.m_fence};
     const StoreReply reply = co_await writeRecord(gateway, record);
     gateway.m_renewing = false;
     if (gateway.m_lease.m_fence != record.m_fence)
@@ -78,6 +78,7 @@
     if (!reply.m_object)
         co_return;
     if (reply.m_outcome == StoreOutcome::Done) {
+        gateway.m_leaseAsk.m_extended = false;
         holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision, began,
                   now(gateway));
     } else if (reply.m_outcome == StoreOutcome::Conflict) {
@@ -101,12 +102,13 @@
         gateway.m_lease.m_doubtUntil = began;
     if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
         gateway.m_placement = HolderState();
-        holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision,
-                  began, now(gateway));
+        holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision, began,
+                  now(gateway));
         gateway.m_holder = gateway.m_settings.m_host;
         gateway.m_holderHeard = now(gateway);
-        logEvent("lease_taken", {{"fence", std::to_string(record.m_fence)},
-                                 {"revision", std::to_string(reply.m_object->m_revision)}});
+        logEvent("lease_taken",
+                 {{"fence", std::to_string(record.m_fence)},
+                  {"revision", std::to_string(reply.m_object->m_revision)}});
         beatNow(gateway);
         wake(*gateway.m_planNow);
     } else if (reply.m_outcome == StoreOutcome::Conflict && reply.m_object) {
@@ -151,8 +153,9 @@
     const Millis turn = leaseTurn * hostRank(gateway);
     if (now(gateway) < at + turn)
         co_return;
-    logEvent("lease_takeable", {{"holder", gateway.m_lease.m_seen.m_holder.m_text},
-                                {"revision", std::to_string(gateway.m_lease.m_revision)}});
+    logEvent("lease_takeable",
+             {{"holder", gateway.m_lease.m_seen.m_holder.m_text},
+              {"revision", std::to_string(gateway.m_lease.m_revision)}});
     co_await takeLease(gateway);
 }
 
@@ -160,16 +163,15 @@
 void tendLease(Gateway &gateway)
 {
     const Millis time = now(gateway);
-    const Millis age
-        = time - (gateway.m_lease.m_validUntil - gateway.m_leaseTiming.m_length);
+    const Millis age = time - (gateway.m_lease.m_validUntil - gateway.m_leaseTiming.m_length);
     if (gateway.m_stopping)
         return;
     if (age >= gateway.m_leaseTiming.m_renew && !gateway.m_renewing) {
         gateway.m_renewing = true;
         begin(gateway, "renew", renewLease(gateway));
     }
-    const bool late = age >= gateway.m_leaseTiming.m_renew + renewalLate
-        || gateway.m_storeHealth.m_away;
+    const bool late
+        = age >= gateway.m_leaseTiming.m_renew + renewalLate || gateway.m_storeHealth.m_away;
     if (late && time - gateway.m_leaseAsk.m_asked >= askPause)
         askForLease(gateway);
 }
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr double crowdedAt = 0.4;      // requests over slots of all copies: one more copy
-constexpr double runningCost = 3'000;  // ms; an unload waits until the runs of its model end
-constexpr double lastCopyCost = 400;   // ms; somebody may soon ask for what leaves
-constexpr double ratePrice = 4'000;    // ms for each request a second to the model that leaves
-constexpr double unloadCost = 350;     // ms that an unload takes
+constexpr double crowdedAt = 0.4;     // requests over slots of all copies: one more copy
+constexpr double runningCost = 3'000; // ms; an unload waits until the runs of its model end
+constexpr double lastCopyCost = 400;  // ms; somebody may soon ask for what leaves
+constexpr double ratePrice = 4'000;   // ms for each request a second to the model that leaves
+constexpr double unloadCost = 350;    // ms that an unload takes
 constexpr double never = std::numeric_limits<double>::infinity();
 
 struct Planner
@@ -333,8 +333,8 @@
         const EngineModel *model = modelOf(planner, demand->m_model);
         if (!model)
             continue;
-        const bool adapterOnly = !demand->m_adapter.m_text.empty()
-            && isAnywhere(planner, demand->m_model, {});
+        const bool adapterOnly
+            = !demand->m_adapter.m_text.empty() && isAnywhere(planner, demand->m_model, {});
         if (adapterOnly) {
             if (!isAnywhere(planner, demand->m_model, demand->m_adapter))
                 loadAdapter(planner, *demand);
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -10,12 +10,12 @@
 constexpr Millis watchWait = {20'000};
 constexpr Millis firstPause = {60}; // after a failure
 constexpr Millis longestPause = {1'500};
-constexpr Millis betweenWatches = {5};     // lets a series of changes come as one answer
-constexpr Millis emptyWatchPause = {250};  // after an answer that came early and empty
-constexpr Millis lapseTime = {2'000};      // entries that lapsed in an outage are back by then
-constexpr Millis auditPeriod = {700}; // after any host's audit; well within the time that a
-                                      // change may take to be in force everywhere
-constexpr Millis auditStep = {120};   // by rank, so that one host audits
+constexpr Millis betweenWatches = {5};    // lets a series of changes come as one answer
+constexpr Millis emptyWatchPause = {250}; // after an answer that came early and empty
+constexpr Millis lapseTime = {2'000};     // entries that lapsed in an outage are back by then
+constexpr Millis auditPeriod = {700};     // after any host's audit; well within the time that a
+                                          // change may take to be in force everywhere
+constexpr Millis auditStep = {120};       // by rank, so that one host audits
 constexpr Millis auditLook = {50};
 constexpr Millis catchUpPause = {60}; // what others know may be on its way here
 constexpr Millis listPeriod = {10'000};
@@ -53,7 +53,8 @@
 
 void takeRoutes(Gateway &gateway, const StoredObject &object)
 {
-    if (object.m_deleted || object.m_name != "main" || object.m_revision <= gateway.m_routesRevision)
+    if (object.m_deleted || object.m_name != "main"
+        || object.m_revision <= gateway.m_routesRevision)
         return;
     gateway.m_routesRevision = object.m_revision;
     auto read = gateway.m_protocol->readRoutes(object.m_content);
@@ -71,9 +72,10 @@
     gateway.m_callerOptions->m_headLimit = table->m_limits.m_headBytes;
     gateway.m_callerOptions->m_headTimeout = table->m_limits.m_headTimeout;
     gateway.m_callerOptions->m_idleTimeout = table->m_limits.m_idleTimeout;
-    logEvent("configuration", {{"version", std::to_string(table->m_version)},
-                               {"revision", std::to_string(object.m_revision)},
-                               {"routes", std::to_string(table->m_routes.size())}});
+    logEvent("configuration",
+             {{"version", std::to_string(table->m_version)},
+              {"revision", std::to_string(object.m_revision)},
+              {"routes", std::to_string(table->m_routes.size())}});
     gateway.m_routes = std::move(table);
 }
 
@@ -129,8 +131,7 @@
                                                      StoreOutcome &outcome)
 {
     outcome = StoreOutcome::Unknown;
-    const auto response
-        = co_await callStore(gateway, toText(kind), std::move(request), timeout);
+    const auto response = co_await callStore(gateway, toText(kind), std::move(request), timeout);
     if (!ok(response))
         co_return std::nullopt;
     auto page = gateway.m_protocol->readPage(std::get<HttpResponse>(response));
@@ -141,8 +142,7 @@
     }
     const auto &reply = std::get<StoreReply>(page);
     outcome = reply.m_outcome;
-    const bool usable
-        = outcome == StoreOutcome::HistoryGone || outcome == StoreOutcome::Missing;
+    const bool usable = outcome == StoreOutcome::HistoryGone || outcome == StoreOutcome::Missing;
     noteStore(gateway, toText(kind), usable, reply.m_detail);
     co_return std::nullopt;
 }
@@ -232,8 +232,8 @@
     StoreOutcome outcome = StoreOutcome::Unknown;
     const Millis began = now(gateway);
     HttpRequest request = gateway.m_protocol->watchObjects(kind, revision, watchWait);
-    const auto page = co_await fetchPage(gateway, kind, std::move(request),
-                                         watchWait + callTimeout, outcome);
+    const auto page
+        = co_await fetchPage(gateway, kind, std::move(request), watchWait + callTimeout, outcome);
     if (!page) {
         co_await pauseFor(gateway, jittered(gateway, pause));
         pause = std::min(pause * 2, longestPause);
@@ -313,7 +313,8 @@
 {
     Millis pause = firstPause;
     while (true) {
-        std::optional<std::uint64_t> revision = co_await listPatiently(gateway, ObjectKind::Servers);
+        std::optional<std::uint64_t> revision
+            = co_await listPatiently(gateway, ObjectKind::Servers);
         while (revision && holdsLease(gateway))
             revision = co_await watchOnce(gateway, ObjectKind::Servers, *revision, pause);
         if (revision)
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Millis loadFresh = {2'000};   // older load figures of a server say nothing
-constexpr double elsewhereCost = 0.03;  // load that a server in the same data centre may have more
-constexpr double affinityGain = 0.12;   // load that a server with the prompt's parts may have more
-constexpr double failedCost = 100;      // above any load
+constexpr Millis loadFresh = {2'000};  // older load figures of a server say nothing
+constexpr double elsewhereCost = 0.03; // load that a server in the same data centre may have more
+constexpr double affinityGain = 0.12;  // load that a server with the prompt's parts may have more
+constexpr double failedCost = 100;     // above any load
 constexpr Millis firstAvoidance = {300};
 constexpr Millis longestAvoidance = {4'000};
 
@@ -101,8 +101,8 @@
     }
     const int doublings = std::min(known.m_failures, 4);
     known.m_failures += 1;
-    const Millis avoidance = std::min(firstAvoidance * (std::int64_t{1} << doublings),
-                                      longestAvoidance);
+    const Millis avoidance
+        = std::min(firstAvoidance * (std::int64_t{1} << doublings), longestAvoidance);
     known.m_avoidUntil = time + avoidance;
 }
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -11,12 +11,12 @@
 namespace {
 
 constexpr Millis connectTimeout = {400};
-constexpr Millis answerSlack = {80};      // a server's own answer at the deadline is still on its way
-constexpr Millis refusedFor = {150};      // a model that a server just refused
-constexpr Millis leastPatience = {20};    // with less left a request isn't sent
-constexpr Millis retryPause = {40};       // before the same servers are asked again
+constexpr Millis answerSlack = {80};   // a server's own answer at the deadline is still on its way
+constexpr Millis refusedFor = {150};   // a model that a server just refused
+constexpr Millis leastPatience = {20}; // with less left a request isn't sent
+constexpr Millis retryPause = {40};    // before the same servers are asked again
 constexpr std::size_t answerLimit = 16UL << 20; // bytes of an answer that is held whole
-constexpr int mostSends = 5;              // of one request, whatever the servers say
+constexpr int mostSends = 5;                    // of one request, whatever the servers say
 constexpr Millis comeBack = {1'000};
 constexpr Millis comeBackSoon = {300};
 constexpr Millis holderKnownFor = {2'500}; // after it was heard last
@@ -33,17 +33,18 @@
     ServiceName m_service;
     std::vector<HttpField> m_fields; // to pass on, without those of the connection
     Millis m_arrived;
-    Millis m_deadline;      // of the caller and of the route, the earlier
-    int m_sends = 0;        // to servers
-    int m_runs = 0;         // sends that may have run
+    Millis m_deadline; // of the caller and of the route, the earlier
+    int m_sends = 0;   // to servers
+    int m_runs = 0;    // sends that may have run
     std::set<InstanceId> m_tried;
     std::set<InstanceId> m_full; // said not run; may be asked again
-    Millis m_waited;        // for a model
+    Millis m_waited;             // for a model
     bool m_headSent = false;
     EventScanner m_events;
-    Sleeper *m_sleeper = nullptr;        // while the request waits
-    HttpConnection *m_server = nullptr;  // while one works on it
-    std::optional<HttpResponse> m_lastAnswer; // a server's failure, passed on if no retry does better
+    Sleeper *m_sleeper = nullptr;       // while the request waits
+    HttpConnection *m_server = nullptr; // while one works on it
+    std::optional<HttpResponse>
+        m_lastAnswer; // a server's failure, passed on if no retry does better
 };
 
 enum class SendOutcome : std::uint8_t {
@@ -257,7 +258,8 @@
             KnownServer &known = found->second;
             known.m_inFlight = std::max(known.m_inFlight + change, 0);
             if (!m_key.m_model.m_text.empty())
-                known.m_running[m_key.m_model] = std::max(known.m_running[m_key.m_model] + change, 0);
+                known.m_running[m_key.m_model]
+                    = std::max(known.m_running[m_key.m_model] + change, 0);
         }
         if (!m_key.m_model.m_text.empty())
             m_gateway.m_wants[m_key].m_running += change;
@@ -461,9 +463,9 @@
         co_return SendResult{SendOutcome::NotSent, std::get<Failure>(opened)};
     }
     if (callerGone(relay) || leftFor(relay) <= leastPatience)
-        co_return SendResult{SendOutcome::NotSent,
-                             makeFailure(ErrorKind::DeadlineUnmeetable, "no time left",
-                                         comeBackSoon)};
+        co_return SendResult{
+            SendOutcome::NotSent,
+            makeFailure(ErrorKind::DeadlineUnmeetable, "no time left", comeBackSoon)};
     const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
     relay.m_server = connection.get();
     relay.m_sends += 1;
@@ -478,12 +480,13 @@
     if (result.m_outcome == SendOutcome::Failed)
         relay.m_runs += 1;
     if (result.m_outcome != SendOutcome::Done)
-        logEvent("send_failed", {{"id", relay.m_terms.m_id},
-                                 {"server", id.m_text},
-                                 {"run", toText(result.m_outcome == SendOutcome::Failed
-                                                    ? RunState::Unknown
-                                                    : RunState::NotRun)},
-                                 {"why", result.m_failure.m_detail}});
+        logEvent("send_failed",
+                 {{"id", relay.m_terms.m_id},
+                  {"server", id.m_text},
+                  {"run",
+                   toText(result.m_outcome == SendOutcome::Failed ? RunState::Unknown
+                                                                  : RunState::NotRun)},
+                  {"why", result.m_failure.m_detail}});
     co_return result;
 }
 
@@ -533,7 +536,8 @@
             co_return co_await refuse(relay, result.m_failure);
         }
     }
-    logCall(relay, "passed_on", makeFailure(ErrorKind::None, "a failure of the server", RunState::Ran),
+    logCall(relay, "passed_on",
+            makeFailure(ErrorKind::None, "a failure of the server", RunState::Ran),
             relay.m_lastAnswer->m_head.m_status);
     countAnswer(gateway.m_metrics, ErrorKind::BackendRefused);
     co_await sendWhole(*relay.m_exchange, *relay.m_lastAnswer);
--- a/tests/unit/gatewaylease.cpp
+++ b/tests/unit/gatewaylease.cpp
@@ -110,8 +110,7 @@
     void refused(SimHost &host, const LeaseRecord &inStore, std::uint64_t revision)
     {
         seeLease(host.m_lease, inStore, revision, m_now);
-        const bool own = inStore.m_holder == host.m_name
-            && inStore.m_fence == host.m_lease.m_fence;
+        const bool own = inStore.m_holder == host.m_name && inStore.m_fence == host.m_lease.m_fence;
         if (host.m_lease.m_fence > 0 && !own)
             dropLease(host.m_lease);
     }
@@ -290,7 +289,8 @@
     {
         Lease lease;
         seeLease(lease, {{}, "run", 4}, 7, start);
-        CPPUNIT_ASSERT(takeableAt(lease, timing, {"self"}) == start + timing.m_turn + timing.m_margin);
+        CPPUNIT_ASSERT(takeableAt(lease, timing, {"self"})
+                       == start + timing.m_turn + timing.m_margin);
     }
 
     void sameMachineTakesItsOwnLeaseAtOnce()
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -123,8 +123,7 @@
     void swapGoesWhereTheModelIsOnDisk()
     {
         const auto plan = input(
-            m_limits,
-            {makeServer("a", {"m0", "m1"}, {}), makeServer("b", {"m0", "m1"}, {"m2"})},
+            m_limits, {makeServer("a", {"m0", "m1"}, {}), makeServer("b", {"m0", "m1"}, {"m2"})},
             {waitingFor("m2")});
         const auto commands = planPlacement(plan);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
@@ -244,9 +243,10 @@
                 waiting.try_emplace({"m" + std::to_string(random() % models)}, time);
             std::vector<ModelDemand> demands;
             for (auto at = waiting.begin(); at != waiting.end();) {
-                const bool there = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
-                    return holdsModel(server.m_plan.m_word, at->first, {});
-                });
+                const bool there
+                    = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
+                          return holdsModel(server.m_plan.m_word, at->first, {});
+                      });
                 if (there) {
                     worst = std::max(worst, time - at->second);
                     ++served;
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -139,7 +139,8 @@
         there.m_load = {8, 2, 10};
         there.m_loadHeard = start;
         CPPUNIT_ASSERT_EQUAL(std::string("here"), chosen(roster, choice("")));
-        CPPUNIT_ASSERT_EQUAL(std::string("there"), chosen(roster, choice(""), start + Millis{3'000}));
+        CPPUNIT_ASSERT_EQUAL(std::string("there"),
+                             chosen(roster, choice(""), start + Millis{3'000}));
     }
 
     void adapterMustBeThere()
@@ -163,7 +164,8 @@
         ChoiceInput onlyFailing = choice("");
         onlyFailing.m_tried = {{"good"}};
         CPPUNIT_ASSERT_EQUAL(std::string("failing"), chosen(roster, onlyFailing));
-        CPPUNIT_ASSERT_EQUAL(std::string("failing"), chosen(roster, choice(""), start + Millis{5'000}));
+        CPPUNIT_ASSERT_EQUAL(std::string("failing"),
+                             chosen(roster, choice(""), start + Millis{5'000}));
     }
 
     void retriesStayWithinTheBudget()
@@ -200,7 +202,8 @@
 
     void eventsAreCutWholeWhereverTheBytesBreak()
     {
-        const std::string stream = "id: 1\ndata: a\n\nid:2\ndata: b\n\ndata: c\n\nid: 4\ndata: cut of";
+        const std::string stream
+            = "id: 1\ndata: a\n\nid:2\ndata: b\n\ndata: c\n\nid: 4\ndata: cut of";
         const std::size_t whole = stream.find("id: 4");
         for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
             EventScanner scanner;
