--- a/src/gateway.h
+++ b/src/gateway.h
@@ -517,7 +517,8 @@
     HostName m_host;
     DataCentre m_dataCentre;
     Endpoint m_caller;             // callers' requests
-    Endpoint m_ready;              // readiness and metrics
+    Endpoint m_ready; // readiness
+    Endpoint m_metrics; // counters and histograms; port 0: none
     Endpoint m_directory;          // address answers
     Endpoint m_peer;               // UDP, other hosts
     Endpoint m_platform;           // the store
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -34,9 +34,16 @@
 {
     HttpResponse response;
     response.m_head.m_status = 404;
-    if (gateway.m_protocol->isReadyAsk(exchange.m_request)) {
+    if (gateway.m_protocol->isReadyAsk(exchange.m_request))
         response.m_head.m_status = isReady(gateway) ? 200 : 503;
-    } else if (exchange.m_request.m_target == "/metrics") {
+    co_await sendWhole(exchange, response);
+}
+
+asio::awaitable<void> answerMetrics(Gateway &gateway, HttpExchange &exchange)
+{
+    HttpResponse response;
+    response.m_head.m_status = 404;
+    if (exchange.m_request.m_target == "/metrics") {
         response.m_head.m_status = 200;
         addField(response.m_head.m_fields, "Content-Type", "text/plain; version=0.0.4");
         response.m_body = renderMetrics(gateway.m_metrics);
@@ -151,6 +158,8 @@
             = listenOn(gateway, settings.m_directory, answerDirectory, plain, gateway.m_directory);
     if (!failure)
         failure = listenOn(gateway, settings.m_ready, answerReady, plain, gateway.m_ready);
+    if (!failure && settings.m_metrics.m_port != 0)
+        failure = listenOn(gateway, settings.m_metrics, answerMetrics, plain, gateway.m_metricsPort);
     if (!failure)
         failure = bindUdp(gateway);
     if (failure)
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -26,6 +26,7 @@
     settings.m_dataCentre.m_text = readName(map, "data-centre", true);
     settings.m_caller = readEndpoint(map, "caller-address", true);
     settings.m_ready = readEndpoint(map, "ready-address", true);
+    settings.m_metrics = readEndpoint(map, "metrics-address", false);
     settings.m_directory = readEndpoint(map, "directory-address", true);
     settings.m_peer = readEndpoint(map, "peer-address", true);
     settings.m_platform = readEndpoint(map, "platform", true);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -142,6 +142,7 @@
     std::shared_ptr<TcpListener> m_callers;
     std::shared_ptr<TcpListener> m_directory;
     std::shared_ptr<TcpListener> m_ready;
+    std::shared_ptr<TcpListener> m_metricsPort;
     int m_inFlight = 0; // requests being answered
     bool m_stopping = false;
     Millis m_stopBegan; // valid if m_stopping
--- a/test.sh
+++ b/test.sh
@@ -27,7 +27,7 @@
 sources() { git ls-files '*.cpp' '*.h' | grep -v generated; }
 format() { sources | xargs clang-format --dry-run --Werror; }
 lint() {
-  git ls-files 'src/*.cpp' 'daemons/*.cpp' 'standins/*.cpp' 'tools/*.cpp' 'tests/*.cpp' \
+  git ls-files 'src/*.cpp' 'platform/*.cpp' 'daemons/*.cpp' 'standins/*.cpp' 'tools/*.cpp' 'tests/*.cpp' \
     | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>build/lint.err
 }
 run format format
