Hosts that are gone leave the register; a released lease is told by beats

Change: the holder clears hosts silent for 6 s out of the register, by their revision; a host makes sure that it is registered before it takes the lease, and counts from its registration. Tries back off. The release is told by beat. Callers are told when the lease is free and a swap done. Ruled out: not asking silent hosts (a silent host may still reach the store).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -418,7 +418,8 @@
     DataCentre m_dataCentre;
     Endpoint m_caller;
     Endpoint m_peer;
-    std::string m_run; // of its process
+    std::string m_run;            // of its process
+    std::uint64_t m_revision = 0; // of the entry
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -494,7 +495,7 @@
                                 const boost::json::value &content);
     HttpRequest (*replaceObject)(ObjectKind kind, const std::string &name, std::uint64_t revision,
                                  const boost::json::value &content);
-    HttpRequest (*deleteObject)(ObjectKind kind, const std::string &name);
+    HttpRequest (*deleteObject)(ObjectKind kind, const std::string &name, std::uint64_t revision);
     std::variant<ObjectPage, StoreReply> (*readPage)(const HttpResponse &response);
     StoreReply (*readReply)(const HttpResponse &response);
     Result<RouteTable> (*readRoutes)(const boost::json::value &content);
@@ -517,8 +518,8 @@
     HostName m_host;
     DataCentre m_dataCentre;
     Endpoint m_caller;             // callers' requests
-    Endpoint m_ready; // readiness
-    Endpoint m_metrics; // counters and histograms; port 0: none
+    Endpoint m_ready;              // readiness
+    Endpoint m_metrics;            // counters and histograms; port 0: none
     Endpoint m_directory;          // address answers
     Endpoint m_peer;               // UDP, other hosts
     Endpoint m_platform;           // the store
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -159,7 +159,8 @@
     if (!failure)
         failure = listenOn(gateway, settings.m_ready, answerReady, plain, gateway.m_ready);
     if (!failure && settings.m_metrics.m_port != 0)
-        failure = listenOn(gateway, settings.m_metrics, answerMetrics, plain, gateway.m_metricsPort);
+        failure
+            = listenOn(gateway, settings.m_metrics, answerMetrics, plain, gateway.m_metricsPort);
     if (!failure)
         failure = bindUdp(gateway);
     if (failure)
@@ -169,6 +170,7 @@
     begin(gateway, "audit", auditStore(gateway));
     begin(gateway, "register", registerHost(gateway));
     begin(gateway, "hosts", followObjects(gateway, ObjectKind::Hosts));
+    begin(gateway, "clear", clearRegister(gateway));
     begin(gateway, "hear", hearBeats(gateway));
     begin(gateway, "beat", sendBeats(gateway));
     begin(gateway, "tell", tellHolder(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -52,6 +52,7 @@
 struct Peer
 {
     HostEntry m_entry;
+    Millis m_known; // since when it is in the register
     Millis m_heard; // 0: never
     bool m_ready = false;
     std::uint64_t m_fence = 0; // above 0: it says that it holds the lease
@@ -134,6 +135,8 @@
     Lease m_lease;
     LeaseTiming m_leaseTiming;
     bool m_renewing = false; // a renewal is on its way to the store
+    Millis m_nextTake;       // no earlier try to take the lease
+    Millis m_takePause;      // grows with each try that fails
     LeaseAsk m_leaseAsk;
     HolderState m_placement;
     std::unique_ptr<Sleeper> m_planNow;
@@ -216,6 +219,16 @@
 
 void askForLease(Gateway &gateway);
 
+/// Tells the others that the lease was given back, at that revision of its record.
+void tellRelease(Gateway &gateway, std::uint64_t revision);
+
+/// Whether the store still has our entry; if not, it is written again.
+asio::awaitable<bool> isRegistered(Gateway &gateway);
+
+/// Takes hosts out of the register that were silent for long: a host that is gone for good could
+/// never grant the holder time. One that lives notices, and waits anew before it takes the lease.
+asio::awaitable<void> clearRegister(Gateway &gateway);
+
 // --- leasekeeper.cpp: who may order ---
 
 asio::awaitable<void> keepLease(Gateway &gateway);
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -20,6 +20,8 @@
 constexpr Millis tellPeriod = {300};      // to the lease holder, while there is something to tell
 constexpr Millis tellPause = {4};         // between two tellings
 constexpr Millis silentAfter = {1'500};   // a host unheard for so long gets no new callers
+constexpr Millis goneAfter = {6'000};     // a silent host leaves the register
+constexpr Millis clearPeriod = {2'000};   // between looks at the register
 constexpr Millis strangerTime = {10'000}; // after a stranger was heard nothing is promised
 constexpr Millis rateTime = {4'000};      // over which request rates decay
 constexpr double leastRate = 0.02;        // requests a second; below it a model isn't told
@@ -159,6 +161,11 @@
     peer.m_fence = beat.fence;
     if (beat.fence > 0)
         takeHolderBeat(gateway, peer, beat);
+    if (beat.released > 0) {
+        const LeaseRecord record = {{}, beat.run, gateway.m_lease.m_seen.m_fence};
+        seeLease(gateway.m_lease, record, beat.released, time);
+        gateway.m_holder = {};
+    }
     if (beat.ask > 0)
         answerAsk(gateway, peer, beat);
     if (beat.promise > 0)
@@ -241,8 +248,8 @@
     const auto peer = parseEndpoint(textAt(fields, "peer"));
     if (!caller || !peer)
         return {};
-    return HostEntry{
-        {object.m_name}, {textAt(fields, "data-centre")}, *caller, *peer, textAt(fields, "run")};
+    return HostEntry{{object.m_name}, {textAt(fields, "data-centre")}, *caller,
+                     *peer,           textAt(fields, "run"),           object.m_revision};
 }
 
 /// Creates or replaces our entry; false if the store didn't take it.
@@ -260,6 +267,8 @@
     if (reply.m_outcome != StoreOutcome::Done)
         co_return false;
     gateway.m_hostRevision = reply.m_object ? reply.m_object->m_revision : 1;
+    // The holder learns of us only now: what we saw of its record before doesn't count.
+    gateway.m_lease.m_seenSince = std::max(gateway.m_lease.m_seenSince, now(gateway));
     co_return true;
 }
 
@@ -278,18 +287,59 @@
 
 asio::awaitable<void> unregisterHost(Gateway &gateway)
 {
-    HttpRequest request
-        = gateway.m_protocol->deleteObject(ObjectKind::Hosts, gateway.m_settings.m_host.m_text);
+    HttpRequest request = gateway.m_protocol->deleteObject(
+        ObjectKind::Hosts, gateway.m_settings.m_host.m_text, gateway.m_hostRevision);
+    gateway.m_hostRevision = 0;
     const StoreReply reply = co_await changeStore(gateway, "unregister", std::move(request));
     if (reply.m_outcome != StoreOutcome::Done)
         logWarning("unregister_failed", {{"why", reply.m_detail}});
 }
 
+asio::awaitable<bool> isRegistered(Gateway &gateway)
+{
+    HttpRequest request
+        = gateway.m_protocol->getObject(ObjectKind::Hosts, gateway.m_settings.m_host.m_text);
+    const StoreReply reply = co_await changeStore(gateway, "register", std::move(request));
+    if (reply.m_outcome == StoreOutcome::Missing && !gateway.m_stopping) {
+        gateway.m_hostRevision = 0;
+        co_await registerHost(gateway);
+    }
+    co_return reply.m_outcome == StoreOutcome::Done;
+}
+
+asio::awaitable<void> clearRegister(Gateway &gateway)
+{
+    while (true) {
+        co_await pauseFor(gateway, jittered(gateway, clearPeriod));
+        if (!holdsLease(gateway) || gateway.m_storeHealth.m_away)
+            continue;
+        std::vector<HostEntry> silent;
+        for (const auto &[host, peer] : gateway.m_peers) {
+            if (now(gateway) - std::max(peer.m_heard, peer.m_known) > goneAfter)
+                silent.push_back(peer.m_entry);
+        }
+        for (const HostEntry &entry : silent) {
+            HttpRequest request = gateway.m_protocol->deleteObject(
+                ObjectKind::Hosts, entry.m_host.m_text, entry.m_revision);
+            const StoreReply reply = co_await changeStore(gateway, "clear", std::move(request));
+            logEvent("host_cleared", {{"of", entry.m_host.m_text}, {"outcome", reply.m_detail}});
+        }
+    }
+}
+
 void takeHostEntry(Gateway &gateway, const StoredObject &object)
 {
     const HostName host = {object.m_name};
-    if (host == gateway.m_settings.m_host)
+    if (host == gateway.m_settings.m_host) {
+        const bool lost = object.m_deleted && object.m_revision > gateway.m_hostRevision
+            && gateway.m_hostRevision > 0 && !gateway.m_stopping;
+        if (lost) {
+            logWarning("register_lost", {{"revision", std::to_string(object.m_revision)}});
+            gateway.m_hostRevision = 0;
+            begin(gateway, "register", registerHost(gateway));
+        }
         return;
+    }
     if (object.m_deleted) {
         gateway.m_peers.erase(host);
         logEvent("host_gone", {{"of", object.m_name}});
@@ -304,6 +354,7 @@
     Peer &peer = gateway.m_peers[host];
     if (peer.m_entry.m_run != entry->m_run) {
         peer = Peer();
+        peer.m_known = now(gateway);
         logEvent("host_known", {{"of", object.m_name}, {"at", toText(entry->m_caller)}});
     }
     peer.m_entry = *entry;
@@ -353,6 +404,13 @@
     sendToAll(gateway, beat);
 }
 
+void tellRelease(Gateway &gateway, std::uint64_t revision)
+{
+    wire::BeatT beat = makeBeat(gateway);
+    beat.released = revision;
+    sendToAll(gateway, beat);
+}
+
 int hostRank(const Gateway &gateway)
 {
     const HostName &self = gateway.m_settings.m_host;
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -13,8 +13,10 @@
 constexpr Millis leaseLook = {100};      // between looks at the lease's state
 constexpr Millis leaseTurn = {150};      // by rank, so that one host writes
 constexpr Millis startSpread = {400};
-constexpr Millis renewalLate = {300};  // a renewal that takes longer: ask the other hosts
-constexpr Millis askPause = {250};     // between two asks
+constexpr Millis renewalLate = {300};    // a renewal that takes longer: ask the other hosts
+constexpr Millis askPause = {250};       // between two asks
+constexpr Millis firstTakePause = {200}; // after a try that the store didn't grant
+constexpr Millis longestTakePause = {1'600};
 constexpr Millis lateWrite = {10'000}; // a write without an answer may be done so late
 
 HostName machineOf(const Gateway &gateway)
@@ -102,6 +104,7 @@
         gateway.m_lease.m_doubtUntil = began;
     if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
         gateway.m_placement = HolderState();
+        gateway.m_takePause = {};
         holdLease(gateway.m_lease, gateway.m_leaseTiming, record, reply.m_object->m_revision, began,
                   now(gateway));
         gateway.m_holder = gateway.m_settings.m_host;
@@ -151,12 +154,15 @@
     }
     const Millis at = takeableAt(gateway.m_lease, gateway.m_leaseTiming, machineOf(gateway));
     const Millis turn = leaseTurn * hostRank(gateway);
-    if (now(gateway) < at + turn)
+    if (now(gateway) < std::max(at + turn, gateway.m_nextTake))
         co_return;
+    gateway.m_takePause = std::min(gateway.m_takePause * 2 + firstTakePause, longestTakePause);
+    gateway.m_nextTake = now(gateway) + jittered(gateway, gateway.m_takePause);
     logEvent("lease_takeable",
              {{"holder", gateway.m_lease.m_seen.m_holder.m_text},
               {"revision", std::to_string(gateway.m_lease.m_revision)}});
-    co_await takeLease(gateway);
+    if (co_await isRegistered(gateway) && !holderHeard(gateway))
+        co_await takeLease(gateway);
 }
 
 /// One step of the holder.
@@ -221,6 +227,8 @@
     const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fence};
     loseLease(gateway, "stopping");
     const StoreReply reply = co_await writeRecord(gateway, record);
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object)
+        tellRelease(gateway, reply.m_object->m_revision);
     logEvent("lease_released", {{"done", reply.m_outcome == StoreOutcome::Done ? "yes" : "no"}});
 }
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t answerLimit = 16UL << 20; // bytes of an answer that is held whole
 constexpr int mostSends = 5;                    // of one request, whatever the servers say
 constexpr Millis comeBack = {1'000};
+constexpr Millis swapTime = {1'500}; // to make room for a model and load it from disk
 constexpr Millis comeBackSoon = {300};
 constexpr Millis holderKnownFor = {2'500}; // after it was heard last
 constexpr std::int64_t waitTargets = 3;    // targets that a request waits for its model
@@ -176,6 +177,14 @@
         && now(gateway) - gateway.m_holderHeard < holderKnownFor;
 }
 
+/// When a caller should come back that needs a load while no host may order one: the lease is free
+/// by then, and a swap is done.
+Millis ordersAgainIn(const Gateway &gateway)
+{
+    const Millis at = takeableAt(gateway.m_lease, gateway.m_leaseTiming, {});
+    return std::max(at - now(gateway), Millis{0}) + swapTime;
+}
+
 /// Waits until something changed for the model, or the time ran out.
 asio::awaitable<void> waitForModel(Relay &relay, Millis atMost)
 {
@@ -222,7 +231,8 @@
         } else if (!modelPublished(relay)) {
             co_return makeFailure(ErrorKind::NoCapacity, "the model isn't published", comeBack);
         } else if (!holderKnown(gateway)) {
-            co_return makeFailure(ErrorKind::NoCapacity, "no host may order loads", comeBack);
+            co_return makeFailure(ErrorKind::NoCapacity, "no host may order loads",
+                                  ordersAgainIn(gateway));
         } else {
             const Millis left = waitEnd - now(gateway);
             if (left <= leastPatience)
