Log lines are bounded and never waited for

Change: a line is dropped if standard output can't take it at once or if it is over 1,000 a second; the next line says how many were. Ruled out: a writer thread (one core).

--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,7 +1,12 @@
 // Log lines.
 #include "process/log.h"
 
+#include <algorithm>
+#include <atomic>
 #include <easylogging++.h>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -9,6 +14,56 @@
 
 namespace {
 
+constexpr std::size_t lineLimit = 3'500; // bytes; a pipe that polls as ready takes that much
+constexpr double linesPerSecond = 1'000;
+constexpr double burst = 2'000; // lines
+
+/// Lines that may still be written now.
+struct Allowance
+{
+    std::mutex m_mutex;
+    double m_lines = burst;
+    std::chrono::steady_clock::time_point m_at = std::chrono::steady_clock::now();
+};
+
+Allowance &allowance()
+{
+    static Allowance all;
+    return all;
+}
+
+std::atomic<std::uint64_t> droppedLines = 0; // since the last line that was written
+
+bool takeLine()
+{
+    Allowance &all = allowance();
+    const std::lock_guard lock(all.m_mutex);
+    const auto time = std::chrono::steady_clock::now();
+    const double seconds = std::chrono::duration<double>(time - all.m_at).count();
+    all.m_lines = std::min(burst, all.m_lines + seconds * linesPerSecond);
+    all.m_at = time;
+    if (all.m_lines < 1)
+        return false;
+    all.m_lines -= 1;
+    return true;
+}
+
+/// Whether a line can be written without waiting for whoever reads it.
+bool outputTakesLine()
+{
+    pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
+
+/// A line that would be one too many, or would block, is dropped and counted in the next one.
+bool mayWrite()
+{
+    if (outputTakesLine() && takeLine())
+        return true;
+    ++droppedLines;
+    return false;
+}
+
 void appendValue(std::string &line, const std::string &value)
 {
     const bool plain = !value.empty() && value.find_first_of(" \"=\n") == std::string::npos;
@@ -34,6 +89,10 @@
         line += '=';
         appendValue(line, field.m_value);
     }
+    if (line.size() > lineLimit)
+        line.resize(lineLimit);
+    if (const std::uint64_t dropped = droppedLines.exchange(0))
+        line += " dropped=" + std::to_string(dropped);
     return line;
 }
 
@@ -53,12 +112,14 @@
 
 void logEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
-    LOG(INFO) << makeLine(event, fields);
+    if (mayWrite())
+        LOG(INFO) << makeLine(event, fields);
 }
 
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
 {
-    LOG(WARNING) << makeLine(event, fields);
+    if (mayWrite())
+        LOG(WARNING) << makeLine(event, fields);
 }
 
 } // namespace apricot
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,4 +1,7 @@
 // One line of key=value pairs for each event and each decision, through easylogging++.
+//
+// Writing never blocks, and the volume is bounded: a line that standard output can't take at once,
+// or that is over the rate, is dropped; the next line that is written says how many were.
 #pragma once
 
 #include <initializer_list>
