Request rates in one place; idle wants are dropped

Cause (reading): the holder took its own callers' rates undecayed, so a model once busy there looked busy for ever; the same formula stood in two files; and a caller's made-up model names grew a map without bound. Change: decayedRate(), noteArrival(), isIdle() beside Want; wants are noted for published models only and dropped when idle.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -3,12 +3,15 @@
 #include "process/log.h"
 
 #include <boost/asio.hpp>
+#include <cmath>
 
 namespace apricot {
 
 namespace {
 
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
+constexpr Millis rateTime = {4'000};     // over which request rates decay
+constexpr double leastRate = 0.02;       // requests a second; below it a model isn't asked for
 constexpr Millis stopSlack = {900};      // a stop ends this much before it has to
 constexpr Millis stopLook = {40};        // between looks whether all is answered
 constexpr std::int64_t addressLives = 3; // callers may keep an address so many times too long
@@ -121,6 +124,24 @@
     sleeper.m_timer.cancel();
 }
 
+double decayedRate(const Want &want, Millis time)
+{
+    const double age = static_cast<double>((time - want.m_rateAt).m_count) / rateTime.m_count;
+    return want.m_rate * std::exp(-age);
+}
+
+void noteArrival(Want &want, Millis time)
+{
+    constexpr double msPerSecond = 1'000;
+    want.m_rate = decayedRate(want, time) + msPerSecond / rateTime.m_count;
+    want.m_rateAt = time;
+}
+
+bool isIdle(const Want &want, Millis time)
+{
+    return want.m_calls.empty() && want.m_running == 0 && decayedRate(want, time) < leastRate;
+}
+
 std::unique_ptr<Gateway> makeGateway(const GatewaySettings &settings, std::string settingsPath,
                                      const Protocol &protocol)
 {
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -48,6 +48,13 @@
     Millis m_rateAt;   // when m_rate was right
 };
 
+/// Requests a second, decayed from the last arrival up to now.
+double decayedRate(const Want &want, Millis time);
+void noteArrival(Want &want, Millis time);
+
+/// Nobody waits, runs, or asked lately: the entry can go.
+bool isIdle(const Want &want, Millis time);
+
 /// What another host last said.
 struct Peer
 {
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -296,7 +296,7 @@
         demand.m_waiting = static_cast<int>(want.m_calls.size());
         if (!want.m_calls.empty())
             demand.m_oldest = time - want.m_calls.front().m_since;
-        demand.m_rate = want.m_rate;
+        demand.m_rate = decayedRate(want, time);
         demand.m_running = want.m_running;
         addDemand(all, key, demand);
     }
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -23,8 +23,6 @@
 constexpr Millis goneAfter = {6'000};     // a silent host leaves the register
 constexpr Millis clearPeriod = {2'000};   // between looks at the register
 constexpr Millis strangerTime = {10'000}; // after a stranger was heard nothing is promised
-constexpr Millis rateTime = {4'000};      // over which request rates decay
-constexpr double leastRate = 0.02;        // requests a second; below it a model isn't told
 constexpr int beatTargets = 8;            // hosts that hear each periodic beat
 constexpr std::size_t datagramLimit = 60'000; // bytes
 
@@ -68,12 +66,6 @@
         sendTo(gateway, peer.m_entry.m_peer, bytes);
 }
 
-double decayedRate(const Want &want, Millis time)
-{
-    const double age = static_cast<double>((time - want.m_rateAt).m_count) / rateTime.m_count;
-    return want.m_rate * std::exp(-age);
-}
-
 ServerWord wordOf(const wire::NoticeEntryT &notice)
 {
     ServerWord word;
@@ -199,7 +191,7 @@
     const Millis time = now(gateway);
     for (const auto &[key, want] : gateway.m_wants) {
         const double rate = decayedRate(want, time);
-        if (want.m_calls.empty() && want.m_running == 0 && rate < leastRate)
+        if (isIdle(want, time))
             continue;
         auto entry = std::make_unique<wire::WantEntryT>();
         entry->service = key.m_service.m_text;
@@ -438,6 +430,8 @@
             sendTo(gateway, at->second.m_entry.m_peer, bytes);
         }
         dropMissing(gateway.m_roster, now(gateway));
+        std::erase_if(gateway.m_wants,
+                      [&](const auto &want) { return isIdle(want.second, now(gateway)); });
         co_await pauseFor(gateway, jittered(gateway, beatPeriod));
     }
 }
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -157,18 +157,6 @@
     return {relay.m_service, relay.m_terms.m_model, relay.m_terms.m_adapter};
 }
 
-void noteArrival(Relay &relay)
-{
-    if (relay.m_terms.m_model.m_text.empty())
-        return;
-    constexpr Millis rateTime = {4'000};
-    const Millis time = now(*relay.m_gateway);
-    Want &want = relay.m_gateway->m_wants[wantKey(relay)];
-    const double age = static_cast<double>((time - want.m_rateAt).m_count) / rateTime.m_count;
-    want.m_rate = want.m_rate * std::exp(-age) + 1000.0 / rateTime.m_count;
-    want.m_rateAt = time;
-}
-
 bool holderKnown(const Gateway &gateway)
 {
     if (holdsLease(gateway))
@@ -582,7 +570,8 @@
     budget.m_slack = gateway.m_settings.m_retrySlack / hosts;
     budget.m_window = gateway.m_settings.m_retryWindow;
     noteRequest(budget, relay.m_arrived);
-    noteArrival(relay);
+    if (modelPublished(relay))
+        noteArrival(gateway.m_wants[wantKey(relay)], relay.m_arrived);
     co_await relayToServers(relay);
 }
 
