--- a/src/gateway.h
+++ b/src/gateway.h
@@ -397,7 +397,6 @@
     std::vector<PlanServer> m_servers;
     std::vector<ModelDemand> m_demands;
     std::set<std::string> m_comingAdapters; // "server model/adapter"
-    int m_storeLoads = 0;                   // under way
     bool m_storeLoadDue = true;             // the rate allows one more
 };
 
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -24,7 +24,6 @@
     const PlacementInput *m_input = nullptr;
     std::set<InstanceId> m_taken; // servers that have an order in this plan
     std::vector<EngineCommand> m_commands;
-    int m_storeLoads = 0;
     bool m_storeLoadDue = false;
 };
 
@@ -185,10 +184,8 @@
     }
     order.m_model = model.m_name;
     order.m_fromStore = !isCopyThere(*way.m_server, model.m_name);
-    if (order.m_fromStore) {
-        planner.m_storeLoads += 1;
+    if (order.m_fromStore)
         planner.m_storeLoadDue = false;
-    }
     command(planner, order, *way.m_server);
 }
 
@@ -320,7 +317,6 @@
 {
     Planner planner;
     planner.m_input = &input;
-    planner.m_storeLoads = input.m_storeLoads;
     planner.m_storeLoadDue = input.m_storeLoadDue;
     finishSwaps(planner);
     std::vector<const ModelDemand *> waiting;
