A silent server leaves time only for a try that is allowed; answers log their inputs

Cause: answerTimeout() kept half of the time back for another server when runs < maxAttempts, counted before the run that was about to begin. With max_attempts 1 a server's answer was given up at half time and nothing could follow; the same on the last attempt, and with a single server.

Change: a free function of route, runs, candidates and time left.

Measured: silentServerLeavesTimeOnlyForATryThatIsAllowed failed with the old rule (1000 instead of 2080), passes now.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -279,6 +279,14 @@
 /// centre. Servers that failed lately come last.
 ServerChoice chooseServer(const Roster &roster, const ChoiceInput &input, Millis time);
 
+/// What a server's own answer at the deadline still needs to get here.
+constexpr Millis lastWordTime = {80};
+
+/// How long one server may take to begin its answer. Only if the request may be repeated, and there
+/// is another server to try, does one that stays silent leave time for it. `runs`: earlier sends
+/// that may have run; `candidates`: servers that could be chosen.
+Millis answerTimeout(const Route &route, int runs, int candidates, Millis left);
+
 /// Notes the end of a use: a good one clears the record of failures.
 void noteUse(KnownServer &known, bool good, Millis time);
 
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -92,6 +92,15 @@
     return choice;
 }
 
+Millis answerTimeout(const Route &route, int runs, int candidates, Millis left)
+{
+    const bool another
+        = route.m_repeat == Repeat::Idempotent && runs + 1 < route.m_maxAttempts && candidates > 1;
+    if (!another)
+        return left + lastWordTime;
+    return std::min(left, std::max(route.m_target, Millis{left.m_count / 2}));
+}
+
 void noteUse(KnownServer &known, bool good, Millis time)
 {
     if (good) {
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -11,10 +11,9 @@
 namespace {
 
 constexpr Millis connectTimeout = {400};
-constexpr Millis answerSlack = {80};   // a server's own answer at the deadline is still on its way
-constexpr Millis refusedFor = {150};   // a model that a server just refused
-constexpr Millis leastPatience = {20}; // with less left a request isn't sent
-constexpr Millis retryPause = {40};    // before the same servers are asked again
+constexpr Millis refusedFor = {150};            // a model that a server just refused
+constexpr Millis leastPatience = {20};          // with less left a request isn't sent
+constexpr Millis retryPause = {40};             // before the same servers are asked again
 constexpr std::size_t answerLimit = 16UL << 20; // bytes of an answer that is held whole
 constexpr int mostSends = 5;                    // of one request, whatever the servers say
 constexpr Millis comeBack = {1'000};
@@ -38,8 +37,13 @@
     int m_sends = 0;   // to servers
     int m_runs = 0;    // sends that may have run
     std::set<InstanceId> m_tried;
-    std::set<InstanceId> m_full; // said not run; may be asked again
-    Millis m_waited;             // for a model
+    std::set<InstanceId> m_full;        // said not run; may be asked again
+    Millis m_waited;                    // for a model
+    ServerChoice m_choice;              // the last one
+    std::uint64_t m_rosterRevision = 0; // of the store, that m_choice went by
+    Millis m_firstEvent;                // from the arrival; 0: none passed on yet
+    Millis m_lastEvent;                 // when the last event came
+    Millis m_longestPause;              // between two events
     bool m_headSent = false;
     EventScanner m_events;
     Sleeper *m_sleeper = nullptr;       // while the request waits
@@ -101,6 +105,12 @@
     return failure;
 }
 
+/// A load to two digits, with an avoided server's extra cost told apart.
+std::string loadText(double load)
+{
+    return std::to_string(std::lround(load * 100));
+}
+
 void logCall(const Relay &relay, const char *outcome, const Failure &failure, unsigned status)
 {
     const Gateway &gateway = *relay.m_gateway;
@@ -113,9 +123,16 @@
               {"status", std::to_string(status)},
               {"why", failure.m_detail},
               {"run", toText(failure.m_run)},
+              {"server", relay.m_choice.m_server.m_text},
+              {"of", std::to_string(relay.m_choice.m_candidates)},
+              {"load", loadText(relay.m_choice.m_load)},
+              {"servers_at", std::to_string(relay.m_rosterRevision)},
               {"sends", std::to_string(relay.m_sends)},
               {"waited_ms", std::to_string(relay.m_waited.m_count)},
+              {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
+              {"pause_ms", std::to_string(relay.m_longestPause.m_count)},
               {"took_ms", std::to_string(took.m_count)},
+              {"limit_ms", std::to_string((relay.m_deadline - relay.m_arrived).m_count)},
               {"config", relay.m_routes ? std::to_string(relay.m_routes->m_version) : "none"}});
 }
 
@@ -205,10 +222,10 @@
     const Millis waitEnd
         = std::min(relay.m_arrived + relay.m_route->m_target * waitTargets, relay.m_deadline);
     while (true) {
-        const ServerChoice choice
-            = chooseServer(gateway.m_roster, choiceInput(relay), now(gateway));
-        if (!choice.m_server.m_text.empty())
-            co_return choice.m_server;
+        relay.m_choice = chooseServer(gateway.m_roster, choiceInput(relay), now(gateway));
+        relay.m_rosterRevision = gateway.m_roster.m_revision;
+        if (!relay.m_choice.m_server.m_text.empty())
+            co_return relay.m_choice.m_server;
         if (!relay.m_full.empty()) {
             // All that can run it were full a moment ago: ask them again.
             relay.m_tried = {};
@@ -333,6 +350,18 @@
     co_return SendResult{};
 }
 
+void noteEvent(Relay &relay)
+{
+    const Millis time = now(*relay.m_gateway);
+    if (relay.m_firstEvent.m_count == 0) {
+        relay.m_firstEvent = std::max(time - relay.m_arrived, Millis{1});
+        observe(relay.m_gateway->m_metrics, Span::FirstToken, relay.m_firstEvent);
+    } else {
+        relay.m_longestPause = std::max(relay.m_longestPause, time - relay.m_lastEvent);
+    }
+    relay.m_lastEvent = time;
+}
+
 /// Passes events on as they come. A stream whose end doesn't come is Failed.
 asio::awaitable<SendResult> passStream(Relay &relay, const InstanceId &id,
                                        HttpConnection &connection, HttpHead head)
@@ -342,12 +371,10 @@
         relay.m_headSent = true;
         if (!co_await beginStream(*relay.m_exchange, head))
             co_return SendResult{};
-        observe(relay.m_gateway->m_metrics, Span::FirstToken,
-                now(*relay.m_gateway) - relay.m_arrived);
     }
     relay.m_events.m_rest.clear(); // an event that an earlier server left unfinished
     while (true) {
-        const auto bytes = co_await readSome(connection, leftFor(relay) + answerSlack);
+        const auto bytes = co_await readSome(connection, leftFor(relay) + lastWordTime);
         if (callerGone(relay))
             co_return SendResult{};
         if (!ok(bytes))
@@ -356,7 +383,10 @@
         if (text.empty())
             break;
         const std::string events = scanEvents(relay.m_events, text);
-        if (!events.empty() && !co_await writeChunk(*relay.m_exchange, events))
+        if (events.empty())
+            continue;
+        noteEvent(relay);
+        if (!co_await writeChunk(*relay.m_exchange, events))
             co_return SendResult{};
     }
     if (!relay.m_events.m_rest.empty()
@@ -370,17 +400,6 @@
     co_return SendResult{};
 }
 
-/// How long one server may take to begin its answer.
-Millis answerTimeout(const Relay &relay)
-{
-    const Millis left = leftFor(relay);
-    const bool another = relay.m_route->m_repeat == Repeat::Idempotent
-        && relay.m_runs < relay.m_route->m_maxAttempts;
-    if (!another)
-        return left + answerSlack;
-    return std::min({left, std::max(relay.m_route->m_target, Millis{left.m_count / 2})});
-}
-
 HttpRequest requestFor(const Relay &relay, const InstanceId &id)
 {
     ForwardTerms terms;
@@ -404,7 +423,9 @@
                                        const HttpConnectionPtr &connection)
 {
     Gateway &gateway = *relay.m_gateway;
-    auto head = co_await readHead(*connection, answerTimeout(relay));
+    const Millis patience
+        = answerTimeout(*relay.m_route, relay.m_runs, relay.m_choice.m_candidates, leftFor(relay));
+    auto head = co_await readHead(*connection, patience);
     if (!ok(head))
         co_return sendFailed(relay, id, std::get<Failure>(head));
     const HttpHead &got = std::get<HttpHead>(head);
@@ -423,7 +444,7 @@
             releaseHttp(gateway.m_servers, endpoint, connection);
         co_return result;
     }
-    auto body = co_await readBody(*connection, leftFor(relay) + answerSlack, answerLimit);
+    auto body = co_await readBody(*connection, leftFor(relay) + lastWordTime, answerLimit);
     if (!ok(body))
         co_return sendFailed(relay, id, std::get<Failure>(body));
     HttpResponse response;
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(leastLoadedServerIsChosen);
     CPPUNIT_TEST(adapterMustBeThere);
     CPPUNIT_TEST(failedServersComeLastAndComeBack);
+    CPPUNIT_TEST(silentServerLeavesTimeOnlyForATryThatIsAllowed);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(budgetForgetsAfterItsWindow);
     CPPUNIT_TEST(eventsAreCutWholeWhereverTheBytesBreak);
@@ -168,6 +169,24 @@
                              chosen(roster, choice(""), start + Millis{5'000}));
     }
 
+    /// The load: servers that take a request and say nothing, on routes with one attempt or more.
+    void silentServerLeavesTimeOnlyForATryThatIsAllowed()
+    {
+        constexpr Millis left = {2'000};
+        const Millis all = left + lastWordTime;
+        Route route = makeRoute("a", "/", "s");
+        route.m_repeat = Repeat::Idempotent;
+        route.m_target = {300};
+        route.m_maxAttempts = 1;
+        CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 0, 3, left).m_count);
+        route.m_maxAttempts = 2;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000}, answerTimeout(route, 0, 3, left).m_count);
+        CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 1, 3, left).m_count);
+        CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 0, 1, left).m_count);
+        route.m_repeat = Repeat::AtMostOnce;
+        CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 0, 3, left).m_count);
+    }
+
     void retriesStayWithinTheBudget()
     {
         const bool held = rc::check("never more than the share and the slack", [] {
