A model that was just loaded stays until its callers have come

In the moment after a load nothing runs and nobody waits any more (the callers are on their way), so the model looks like the cheapest one to give up.

Change: a model is no victim for 700 ms after its load; hosts tell the holder of their requests each 300 ms, so it shows as used by then.

Ruled out: judging by the rate of requests; a rare model has none to speak of.

Unit test modelThatWasJustLoadedStaysForItsCallers.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -396,6 +396,7 @@
     bool m_usable = true;        // false: leaving, unreachable, or an order is being carried out
     bool m_sequenceKnown = true; // false: wait for a report before ordering
     ModelName m_pending;         // load under way, or unload that makes room for it; empty: none
+    std::set<ModelName> m_fresh; // just loaded: their callers are on the way, unseen yet
     std::map<ModelName, int> m_running; // requests, by model, over all hosts
 };
 
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -76,8 +76,9 @@
     bool m_inHand = false; // a coroutine follows an order or a report of it
     ModelName m_pending;   // see PlanServer
     Millis m_pendingSince;
-    Millis m_settledAt;             // when a report last settled m_word
-    std::set<std::string> m_coming; // "model/adapter"
+    Millis m_settledAt;                     // when a report last settled m_word
+    std::map<ModelName, Millis> m_loadedAt; // models that were loaded lately, when
+    std::set<std::string> m_coming;         // "model/adapter"
 };
 
 /// State that only the lease holder uses.
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -19,6 +19,7 @@
 constexpr Millis followLimit = {20'000};  // an order that takes longer is given up
 constexpr Millis adapterTime = {14};      // a load of an adapter
 constexpr Millis usesFresh = {1'500};     // what hosts told longer ago doesn't count
+constexpr Millis freshFor = {700};        // hosts have told of its first requests by then
 constexpr Millis pendingLimit = {10'000}; // room made for a model is kept for it so long
 constexpr Millis storeWindow = {5'000};   // of the weight store's rate
 constexpr double storeShare = 0.8;        // of the weight store's rate
@@ -251,8 +252,10 @@
         announce(gateway, command.m_server, server->m_word);
         co_await settleServer(gateway, command.m_server, endpoint, wait);
         server = followed(gateway, command.m_server);
-        if (server && command.m_kind == CommandKind::Load)
+        if (server && command.m_kind == CommandKind::Load) {
             server->m_pending = {};
+            server->m_loadedAt[command.m_model] = now(gateway);
+        }
         co_return;
     }
     server->m_sequenceKnown = false;
@@ -369,6 +372,8 @@
         }
         if (now(gateway) - server.m_pendingSince > pendingLimit && !server.m_inHand)
             server.m_pending = {};
+        std::erase_if(server.m_loadedAt,
+                      [&](const auto &loaded) { return now(gateway) - loaded.second >= freshFor; });
     }
     std::erase_if(servers, [&](const auto &entry) {
         return !gateway.m_roster.m_servers.contains(entry.first);
@@ -399,6 +404,10 @@
             && time >= known.m_avoidUntil;
         plan.m_sequenceKnown = server.m_sequenceKnown;
         plan.m_pending = server.m_pending;
+        for (const auto &[model, loadedAt] : server.m_loadedAt) {
+            if (time - loadedAt < freshFor)
+                plan.m_fresh.insert(model);
+        }
         plan.m_running = runningAt(gateway, known);
         for (const std::string &coming : server.m_coming)
             input.m_comingAdapters.insert(id.m_text + " " + coming);
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -130,7 +130,7 @@
 {
     Victim victim;
     for (const LoadedModel &loaded : server.m_word.m_models) {
-        if (loaded.m_name == wanted)
+        if (loaded.m_name == wanted || server.m_fresh.contains(loaded.m_name))
             continue;
         const double cost = leavingCost(planner, server, loaded.m_name);
         if (cost < victim.m_cost)
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(freeRoomIsUsedFirst);
     CPPUNIT_TEST(swapGoesWhereTheModelIsOnDisk);
     CPPUNIT_TEST(idleModelsAreGivenUpBeforeBusyOnes);
+    CPPUNIT_TEST(modelThatWasJustLoadedStaysForItsCallers);
     CPPUNIT_TEST(roomIsNotMadeTwice);
     CPPUNIT_TEST(roomThatWasMadeIsUsed);
     CPPUNIT_TEST(theStoreIsAskedOnlyWhenItsRateAllows);
@@ -140,6 +141,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("-a:m1 "), textOf(planPlacement(plan)));
     }
 
+    /// The load: callers of two rare models at once, one server that can swap both in. The first
+    /// model has just come and its callers are on their way: nothing shows that it is in use.
+    void modelThatWasJustLoadedStaysForItsCallers()
+    {
+        PlanServer server = makeServer("a", {"m0", "m1"}, {"m2"});
+        server.m_fresh = {{"m1"}};
+        server.m_running[{"m0"}] = 1;
+        const auto plan = input(m_limits, {server}, {waitingFor("m2")});
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m0 "), textOf(planPlacement(plan)));
+        server.m_fresh.insert({"m0"});
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             textOf(planPlacement(input(m_limits, {server}, {waitingFor("m2")}))));
+    }
+
     void roomIsNotMadeTwice()
     {
         PlanServer swapping = makeServer("a", {"m0"}, {"m2"});
