Callers who can still be on time come before those who can't

The servers swapped all the time (an unload each 1.65 s a server), but in the order of arrival: once the queue is longer than the target, every caller is late.

Change: a host tells how many of its waiting calls are on time if a swap begins now, and when the first of those is late. The planner takes the tightest of these first, then the late ones, oldest first.

Ruled out: newest first (starves nothing less, but drops callers who were nearly there); order by the route's rank (the kinds that share a service have ranks that say nothing about how long they can wait).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -369,10 +369,18 @@
     AdapterName m_adapter; // empty: the model itself
     int m_waiting = 0;     // requests that can't be sent yet
     Millis m_oldest;       // how long the first has waited
+    int m_hopeful = 0;     // of those waiting: still on time if a swap began now
+    Millis m_slack;        // valid if m_hopeful: time until the first of them is late
     double m_rate = 0;     // requests a second, lately
     int m_running = 0;     // requests sent and not ended
 };
 
+/// Counts one more waiting request, that came `waited` ago and is on time for `target` after that.
+void addWaiting(ModelDemand &demand, Millis waited, Millis target);
+
+/// Adds what another host, or another adapter's callers, want of the same model.
+void addDemand(ModelDemand &sum, const ModelDemand &demand);
+
 enum class CommandKind : std::uint8_t { Load, Unload };
 
 /// One order to one server.
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -137,6 +137,18 @@
     want.m_rateAt = time;
 }
 
+ModelDemand demandOf(const WantKey &key, const Want &want, Millis time)
+{
+    ModelDemand demand;
+    demand.m_model = key.m_model;
+    demand.m_adapter = key.m_adapter;
+    for (const WaitingCall &call : want.m_calls)
+        addWaiting(demand, time - call.m_since, call.m_target);
+    demand.m_rate = decayedRate(want, time);
+    demand.m_running = want.m_running;
+    return demand;
+}
+
 bool isIdle(const Want &want, Millis time)
 {
     return want.m_calls.empty() && want.m_running == 0 && decayedRate(want, time) < leastRate;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -37,7 +37,8 @@
 struct WaitingCall
 {
     Sleeper *m_sleeper = nullptr;
-    Millis m_since;
+    Millis m_since;  // its arrival
+    Millis m_target; // on time for so long after that
 };
 
 struct Want
@@ -51,6 +52,7 @@
 /// Requests a second, decayed from the last arrival up to now.
 double decayedRate(const Want &want, Millis time);
 void noteArrival(Want &want, Millis time);
+ModelDemand demandOf(const WantKey &key, const Want &want, Millis time);
 
 /// Nobody waits, runs, or asked lately: the entry can go.
 bool isIdle(const Want &want, Millis time);
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -284,25 +284,15 @@
     ModelDemand &sum = all[key];
     sum.m_model = key.m_model;
     sum.m_adapter = key.m_adapter;
-    sum.m_waiting += demand.m_waiting;
-    sum.m_oldest = std::max(sum.m_oldest, demand.m_oldest);
-    sum.m_rate += demand.m_rate;
-    sum.m_running += demand.m_running;
+    addDemand(sum, demand);
 }
 
 std::map<WantKey, ModelDemand> allDemands(const Gateway &gateway)
 {
     std::map<WantKey, ModelDemand> all;
     const Millis time = now(gateway);
-    for (const auto &[key, want] : gateway.m_wants) {
-        ModelDemand demand;
-        demand.m_waiting = static_cast<int>(want.m_calls.size());
-        if (!want.m_calls.empty())
-            demand.m_oldest = time - want.m_calls.front().m_since;
-        demand.m_rate = decayedRate(want, time);
-        demand.m_running = want.m_running;
-        addDemand(all, key, demand);
-    }
+    for (const auto &[key, want] : gateway.m_wants)
+        addDemand(all, key, demandOf(key, want, time));
     for (const auto &[host, peer] : gateway.m_peers) {
         if (time - peer.m_usesHeard >= usesFresh)
             continue;
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -66,6 +66,20 @@
         sendTo(gateway, peer.m_entry.m_peer, bytes);
 }
 
+ModelDemand demandOf(const wire::WantEntryT &entry)
+{
+    ModelDemand demand;
+    demand.m_model = {entry.model};
+    demand.m_adapter = {entry.adapter};
+    demand.m_waiting = entry.waiting;
+    demand.m_oldest = {entry.oldest_ms};
+    demand.m_hopeful = entry.hopeful;
+    demand.m_slack = {entry.slack_ms};
+    demand.m_rate = entry.rate;
+    demand.m_running = entry.running;
+    return demand;
+}
+
 ServerWord wordOf(const wire::NoticeEntryT &notice)
 {
     ServerWord word;
@@ -171,9 +185,7 @@
         peer.m_usesHeard = time;
         for (const auto &entry : beat.wants) {
             const WantKey key = {{entry->service}, {entry->model}, {entry->adapter}};
-            ModelDemand demand = {key.m_model,        key.m_adapter, entry->waiting,
-                                  {entry->oldest_ms}, entry->rate,   entry->running};
-            peer.m_wants[key] = std::move(demand);
+            peer.m_wants[key] = demandOf(*entry);
         }
         for (const auto &entry : beat.uses)
             peer.m_uses[{{entry->server}, {entry->model}}] = entry->running;
@@ -190,17 +202,19 @@
 {
     const Millis time = now(gateway);
     for (const auto &[key, want] : gateway.m_wants) {
-        const double rate = decayedRate(want, time);
         if (isIdle(want, time))
             continue;
+        const ModelDemand demand = demandOf(key, want, time);
         auto entry = std::make_unique<wire::WantEntryT>();
         entry->service = key.m_service.m_text;
         entry->model = key.m_model.m_text;
         entry->adapter = key.m_adapter.m_text;
-        entry->waiting = static_cast<int>(want.m_calls.size());
-        entry->oldest_ms = want.m_calls.empty() ? 0 : (time - want.m_calls.front().m_since).m_count;
-        entry->rate = static_cast<float>(rate);
-        entry->running = want.m_running;
+        entry->waiting = demand.m_waiting;
+        entry->oldest_ms = demand.m_oldest.m_count;
+        entry->hopeful = demand.m_hopeful;
+        entry->slack_ms = demand.m_slack.m_count;
+        entry->rate = static_cast<float>(demand.m_rate);
+        entry->running = demand.m_running;
         beat.wants.push_back(std::move(entry));
     }
     for (const auto &[id, known] : gateway.m_roster.m_servers) {
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -16,6 +16,7 @@
 constexpr double runningCost = 3'000; // ms; an unload waits until the runs of its model end
 constexpr double lastCopyCost = 400;  // ms; somebody may soon ask for what leaves
 constexpr double ratePrice = 4'000;   // ms for each request a second to the model that leaves
+constexpr Millis quickSwap = {1'200}; // an unload and a load from disk take at least so long
 constexpr double unloadCost = 350;    // ms that an unload takes
 constexpr double never = std::numeric_limits<double>::infinity();
 
@@ -290,13 +291,41 @@
                        });
 }
 
+/// Those who can still be served on time come before those who can't, the tightest first: in an
+/// overload the oldest are late already, and serving them first would make all late.
 bool moreUrgent(const ModelDemand *a, const ModelDemand *b)
 {
-    return a->m_oldest > b->m_oldest;
+    const bool hopeA = a->m_hopeful > 0;
+    const bool hopeB = b->m_hopeful > 0;
+    if (hopeA != hopeB)
+        return hopeA;
+    return hopeA ? a->m_slack < b->m_slack : a->m_oldest > b->m_oldest;
 }
 
 } // namespace
 
+void addWaiting(ModelDemand &demand, Millis waited, Millis target)
+{
+    demand.m_waiting += 1;
+    demand.m_oldest = std::max(demand.m_oldest, waited);
+    const Millis slack = target - waited;
+    if (slack < quickSwap)
+        return;
+    demand.m_slack = demand.m_hopeful > 0 ? std::min(demand.m_slack, slack) : slack;
+    demand.m_hopeful += 1;
+}
+
+void addDemand(ModelDemand &sum, const ModelDemand &demand)
+{
+    if (demand.m_hopeful > 0)
+        sum.m_slack = sum.m_hopeful > 0 ? std::min(sum.m_slack, demand.m_slack) : demand.m_slack;
+    sum.m_hopeful += demand.m_hopeful;
+    sum.m_waiting += demand.m_waiting;
+    sum.m_oldest = std::max(sum.m_oldest, demand.m_oldest);
+    sum.m_rate += demand.m_rate;
+    sum.m_running += demand.m_running;
+}
+
 double memoryUsed(const EngineLimits &limits, const ServerWord &word)
 {
     double used = 0;
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -196,7 +196,8 @@
     Gateway &gateway = *relay.m_gateway;
     Sleeper sleeper(gateway.m_io);
     Want &want = gateway.m_wants[wantKey(relay)];
-    const auto call = want.m_calls.insert(want.m_calls.end(), {&sleeper, relay.m_arrived});
+    const auto call = want.m_calls.insert(want.m_calls.end(),
+                                          {&sleeper, relay.m_arrived, relay.m_route->m_target});
     relay.m_sleeper = &sleeper;
     if (want.m_calls.size() == 1)
         wake(*gateway.m_tellNow);
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(swapGoesWhereTheModelIsOnDisk);
     CPPUNIT_TEST(idleModelsAreGivenUpBeforeBusyOnes);
     CPPUNIT_TEST(modelThatWasJustLoadedStaysForItsCallers);
+    CPPUNIT_TEST(callersWhoCanStillBeOnTimeComeFirst);
     CPPUNIT_TEST(roomIsNotMadeTwice);
     CPPUNIT_TEST(roomThatWasMadeIsUsed);
     CPPUNIT_TEST(theStoreIsAskedOnlyWhenItsRateAllows);
@@ -155,6 +156,31 @@
                              textOf(planPlacement(input(m_limits, {server}, {waitingFor("m2")}))));
     }
 
+    /// The load: a burst of rare models, more than the servers can swap in within the target. In
+    /// the order of arrival everybody waits as long as the first, and all are late.
+    void callersWhoCanStillBeOnTimeComeFirst()
+    {
+        ModelDemand late = waitingFor("m2", 0);
+        addWaiting(late, {4'000}, {3'000});
+        ModelDemand loose = waitingFor("m3", 0);
+        addWaiting(loose, {100}, {3'000});
+        ModelDemand tight = waitingFor("m4", 0);
+        addWaiting(tight, {1'000}, {3'000});
+        const auto plan = input(m_limits, {makeServer("a", {"m0", "m1"}, {"m2", "m3", "m4"})},
+                                {late, loose, tight});
+        const auto commands = planPlacement(plan);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("m4"), commands[0].m_purpose.m_text);
+        // Summed over hosts, the tightest that can still be on time counts.
+        ModelDemand sum = late;
+        addDemand(sum, tight);
+        addDemand(sum, loose);
+        CPPUNIT_ASSERT_EQUAL(3, sum.m_waiting);
+        CPPUNIT_ASSERT_EQUAL(2, sum.m_hopeful);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'000}, sum.m_slack.m_count);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{4'000}, sum.m_oldest.m_count);
+    }
+
     void roomIsNotMadeTwice()
     {
         PlanServer swapping = makeServer("a", {"m0"}, {"m2"});
