Shared prompts no longer crowd one server

Logged plays show what goes with a pause: the requests a second that a server gets, all models together: under 4/s 3%, 4 to 6 7%, 6 to 8 17%, 8 to 10 32%, 10 to 12 44%, over 12 63% of the streams pause. The choice let the server that has the prompt's shared parts carry 0.12 of its slots more, eight requests of 64.

Change: 0.02, about one request.

Ruled out: slots running out (busiest server under half); loads and unloads on the server (with up to 3 running: 4% without, 4% with one, 13% with two).

--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis loadFresh = {2'000};  // older load figures of a server say nothing
 constexpr double elsewhereCost = 0.03; // load that a server in the same data centre may have more
-constexpr double affinityGain = 0.12;  // load that a server with the prompt's parts may have more
+constexpr double affinityGain = 0.02;  // load that a server with the prompt's parts may have more
 constexpr double failedCost = 100;     // above any load
 constexpr Millis firstAvoidance = {300};
 constexpr Millis longestAvoidance = {4'000};
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(sameKeyGetsTheSameService);
     CPPUNIT_TEST(leavingAndTriedServersAreNeverChosen);
     CPPUNIT_TEST(leastLoadedServerIsChosen);
+    CPPUNIT_TEST(sharedPromptsDontCrowdOneServer);
     CPPUNIT_TEST(adapterMustBeThere);
     CPPUNIT_TEST(failedServersComeLastAndComeBack);
     CPPUNIT_TEST(silentServerLeavesTimeOnlyForATryThatIsAllowed);
@@ -144,6 +145,28 @@
                              chosen(roster, choice(""), start + Millis{3'000}));
     }
 
+    /// The load: one busy model on two servers of 64 slots, all callers share the same prompt
+    /// parts. Prompts that are read hold up the tokens of the others, so both must take their
+    /// share.
+    void sharedPromptsDontCrowdOneServer()
+    {
+        Roster roster;
+        for (const char *id : {"one", "two"}) {
+            BackendServer server = makeServer(id, "north", {{{"m"}, {}}});
+            server.m_slots = 64;
+            takeEntry(roster, server, start);
+        }
+        ChoiceInput input = choice("m");
+        input.m_affinity = "shared";
+        std::map<std::string, int> sent;
+        for (int request = 0; request < 8; ++request) {
+            const std::string id = chosen(roster, input);
+            sent[id] += 1;
+            roster.m_servers.at({id}).m_inFlight += 1;
+        }
+        CPPUNIT_ASSERT(std::abs(sent["one"] - sent["two"]) <= 2);
+    }
+
     void adapterMustBeThere()
     {
         Roster roster;
