Busy models get as many copies as their rate needs

After demand moved, a model with 12 requests a second stayed on one or two servers.

Change: copies needed = rate over 5 a second (or running over 0.4 of the slots); several may be under way at once. The rate decays over 2 s instead of 4 s.

Running counts grow with the pauses themselves and order copies late; store loads take a server for 6 s.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
-constexpr Millis rateTime = {4'000};     // over which request rates decay
+constexpr Millis rateTime = {2'000};     // over which request rates decay
 constexpr double leastRate = 0.02;       // requests a second; below it a model isn't asked for
 constexpr Millis stopSlack = {900};      // a stop ends this much before it has to
 constexpr Millis stopLook = {40};        // between looks whether all is answered
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -242,12 +242,8 @@
         const Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
         server->m_word.m_sequence += 1;
         server->m_word.m_busy = true;
-        if (command.m_kind == CommandKind::Unload) {
+        if (command.m_kind == CommandKind::Unload)
             dropModel(server->m_word, command.m_model);
-            server->m_pending = command.m_purpose;
-        } else {
-            server->m_pending = command.m_model;
-        }
         server->m_pendingSince = now(gateway);
         announce(gateway, command.m_server, server->m_word);
         co_await settleServer(gateway, command.m_server, endpoint, wait);
@@ -259,7 +255,7 @@
         co_return;
     }
     server->m_sequenceKnown = false;
-    if (command.m_kind == CommandKind::Load)
+    if (!adapter)
         server->m_pending = {};
     if (outcome == CommandOutcome::Fenced)
         loseLease(gateway, "fenced");
@@ -425,6 +421,9 @@
             if (known == gateway.m_roster.m_servers.end() || !server)
                 continue;
             server->m_inHand = true;
+            if (command.m_adapter.m_text.empty())
+                server->m_pending
+                    = command.m_kind == CommandKind::Load ? command.m_model : command.m_purpose;
             auto work = command.m_fromStore
                 ? carryOutStoreLoad(gateway, command, known->second.m_server)
                 : carryOut(gateway, command, known->second.m_server);
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -6,13 +6,16 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace apricot {
 
 namespace {
 
-constexpr double crowdedAt = 0.4;     // requests over slots of all copies: one more copy
+constexpr double crowdedShare = 0.4; // of the slots of all copies in use: one more copy
+constexpr double copyRate = 5; // requests a second on a copy: more, and prompts hold up tokens
+constexpr double crowdedCost = 3'000; // ms; no more is paid for one more copy
 constexpr double runningCost = 3'000; // ms; an unload waits until the runs of its model end
 constexpr double lastCopyCost = 400;  // ms; somebody may soon ask for what leaves
 constexpr double ratePrice = 4'000;   // ms for each request a second to the model that leaves
@@ -218,6 +221,14 @@
     }
 }
 
+int copiesNeeded(const Planner &planner, const ModelDemand &demand)
+{
+    const double slots = std::max(planner.m_input->m_limits->m_slots, 1);
+    const double byRate = demand.m_rate / copyRate;
+    const double byRuns = demand.m_running / (crowdedShare * slots);
+    return static_cast<int>(std::ceil(std::max(byRate, byRuns)));
+}
+
 AdapterName adapterToDrop(const Planner &planner, const LoadedModel &loaded)
 {
     for (const AdapterName &adapter : loaded.m_adapters) {
@@ -367,15 +378,13 @@
             addCopy(planner, *model, "callers_wait", never);
         }
     }
-    const double slots = std::max(input.m_limits->m_slots, 1);
     for (const ModelDemand &demand : input.m_demands) {
         const EngineModel *model = modelOf(planner, demand.m_model);
-        if (!model || !demand.m_adapter.m_text.empty() || isComing(planner, model->m_name))
+        if (!model || !demand.m_adapter.m_text.empty())
             continue;
         const int copies = copiesOf(planner, demand.m_model);
-        const bool crowded = copies > 0 && demand.m_running > crowdedAt * slots * copies;
-        if (crowded)
-            addCopy(planner, *model, "crowded", runningCost);
+        if (copies > 0 && copies < copiesNeeded(planner, demand))
+            addCopy(planner, *model, "crowded", crowdedCost);
     }
     return planner.m_commands;
 }
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(idleAdapterMakesPlace);
     CPPUNIT_TEST(adapterOnItsWayIsNotOrderedAgain);
     CPPUNIT_TEST(crowdedModelGetsAnotherCopy);
+    CPPUNIT_TEST(busyModelGetsCopiesForItsRate);
     CPPUNIT_TEST(unknownSequenceMeansNoOrder);
     CPPUNIT_TEST(rareModelsOneAfterTheOtherAreSwappedInTime);
     CPPUNIT_TEST_SUITE_END();
@@ -250,6 +251,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("+b:m0 "), textOf(planPlacement(plan)));
     }
 
+    /// The load: demand moves to another model. Its few copies have slots enough, but the prompts
+    /// that come in hold up the tokens of the streams long before the slots are taken.
+    void busyModelGetsCopiesForItsRate()
+    {
+        EngineLimits limits = makeLimits(8);
+        limits.m_slots = 64;
+        ModelDemand busy;
+        busy.m_model = {"m0"};
+        busy.m_rate = 14;
+        busy.m_running = 12;
+        std::vector<PlanServer> servers = {makeServer("a", {"m0"}, {})};
+        for (const char *id : {"b", "c", "d"})
+            servers.push_back(makeServer(id, {"m1", "m2"}, {"m0"}));
+        // Two more copies, both begun at once; the third server is left alone.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planPlacement(input(limits, servers, {busy})).size());
+        servers[1].m_pending = {"m0"};
+        servers[1].m_usable = false;
+        const auto second = planPlacement(input(limits, servers, {busy}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("m0"), second[0].m_purpose.m_text);
+        servers[2].m_pending = {"m0"};
+        servers[2].m_usable = false;
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf(planPlacement(input(limits, servers, {busy}))));
+    }
+
     void unknownSequenceMeansNoOrder()
     {
         PlanServer server = makeServer("a", {}, {"m2"});
