After all hosts were killed the last holder takes its lease first

It need not wait for a turn, but it tried by its rank among hosts that had all just begun (up to 1.2 s), after the spread of a first start (up to 0.6 s).

Change: a host looks at the record first; if it names this machine it tries at once (seekAt(), a free function).

Ruled out: the register (done 30 ms after the start) and the store.

Unit test lastHolderComesFirstAfterAllWereKilled (seekAt is new; the old sum of takeableAt and rank fails it).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -353,6 +353,13 @@
 /// names this host: orders of one machine have one holder.
 Millis takeableAt(const Lease &lease, const LeaseTiming &timing, const HostName &self);
 
+/// The record names this machine: an earlier process of it was the last holder.
+bool ownsRecord(const Lease &lease, const HostName &self);
+
+/// When this host, of that rank, tries to take the lease: one host after the other, so that one
+/// writes and the rest hear of it. The last holder, started anew, has no one to wait for.
+Millis seekAt(const Lease &lease, const LeaseTiming &timing, const HostName &self, int rank);
+
 /// The store acknowledged a record of ours that was sent at `began`.
 void holdLease(Lease &lease, const LeaseTiming &timing, const LeaseRecord &record,
                std::uint64_t revision, Millis began, Millis time);
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -51,6 +51,18 @@
     return std::max(lease.m_seenSince + wait, promised);
 }
 
+bool ownsRecord(const Lease &lease, const HostName &self)
+{
+    return lease.m_anySeen && lease.m_seen.m_holder == self;
+}
+
+Millis seekAt(const Lease &lease, const LeaseTiming &timing, const HostName &self, int rank)
+{
+    constexpr Millis seekTurn = {150}; // a write to the store and the beat that tells of it
+    const Millis at = takeableAt(lease, timing, self);
+    return ownsRecord(lease, self) ? at : at + seekTurn * rank;
+}
+
 void holdLease(Lease &lease, const LeaseTiming &timing, const LeaseRecord &record,
                std::uint64_t revision, Millis began, Millis time)
 {
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -11,7 +11,6 @@
 const char *const leaseName = "orders";
 constexpr Millis holderSilent = {1'300}; // a holder unheard for so long may be gone
 constexpr Millis leaseLook = {100};      // between looks at the lease's state
-constexpr Millis leaseTurn = {150};      // by rank, so that one host writes
 constexpr Millis startSpread = {400};
 constexpr Millis renewalLate = {300};    // a renewal that takes longer: ask the other hosts
 constexpr Millis askPause = {250};       // between two asks
@@ -152,9 +151,9 @@
             co_await takeLease(gateway);
         co_return;
     }
-    const Millis at = takeableAt(gateway.m_lease, gateway.m_leaseTiming, machineOf(gateway));
-    const Millis turn = leaseTurn * hostRank(gateway);
-    if (now(gateway) < std::max(at + turn, gateway.m_nextTake))
+    const Millis at
+        = seekAt(gateway.m_lease, gateway.m_leaseTiming, machineOf(gateway), hostRank(gateway));
+    if (now(gateway) < std::max(at, gateway.m_nextTake))
         co_return;
     gateway.m_takePause = std::min(gateway.m_takePause * 2 + firstTakePause, longestTakePause);
     gateway.m_nextTake = now(gateway) + jittered(gateway, gateway.m_takePause);
@@ -207,8 +206,11 @@
 
 asio::awaitable<void> keepLease(Gateway &gateway)
 {
-    // Spread the hosts that start at once, so that one writes and the others hear of it.
-    co_await pauseFor(gateway, jittered(gateway, startSpread));
+    // Of the hosts that start at once the last holder comes first, since it need not wait for a
+    // turn; the others are spread, so that one writes and the others hear of it.
+    co_await lookAtLease(gateway);
+    if (!ownsRecord(gateway.m_lease, machineOf(gateway)))
+        co_await pauseFor(gateway, jittered(gateway, startSpread));
     while (true) {
         if (gateway.m_lease.m_fence == 0)
             co_await seekLease(gateway);
--- a/tests/unit/gatewaylease.cpp
+++ b/tests/unit/gatewaylease.cpp
@@ -264,6 +264,7 @@
     CPPUNIT_TEST(renewalStartsTheWaitAnew);
     CPPUNIT_TEST(releasedLeaseIsTakenAfterOneTurn);
     CPPUNIT_TEST(sameMachineTakesItsOwnLeaseAtOnce);
+    CPPUNIT_TEST(lastHolderComesFirstAfterAllWereKilled);
     CPPUNIT_TEST(promiseHoldsBackASuccessor);
     CPPUNIT_TEST(noPromiseWhileOurOwnWriteIsInDoubt);
     CPPUNIT_TEST(ordersOfTwoHostsAreATurnApart);
@@ -312,6 +313,21 @@
         CPPUNIT_ASSERT(takeableAt(lease, timing, {"other"}) == start);
     }
 
+    /// The load: all hosts are killed and start anew at once. By the rank of hosts that all have
+    /// just begun, the only one that need not wait would be among the last to try.
+    void lastHolderComesFirstAfterAllWereKilled()
+    {
+        constexpr int lastRank = 8;
+        Lease lease;
+        seeLease(lease, otherRecord, 7, start);
+        CPPUNIT_ASSERT(ownsRecord(lease, {"other"}));
+        CPPUNIT_ASSERT_EQUAL(start.m_count, seekAt(lease, timing, {"other"}, lastRank).m_count);
+        CPPUNIT_ASSERT(!ownsRecord(lease, {"me"}));
+        const Millis free = takeableAt(lease, timing, {"me"});
+        CPPUNIT_ASSERT_EQUAL(free.m_count, seekAt(lease, timing, {"me"}, 0).m_count);
+        CPPUNIT_ASSERT(seekAt(lease, timing, {"me"}, 1) > free);
+    }
+
     void promiseHoldsBackASuccessor()
     {
         Lease lease;
