A stopping host answers those who wait for a model before it goes

Change: while a host stops, nobody waits beyond 300 ms before its end; those who do are woken then and hear that their request did not run.

Tried and dropped with it: callers wait in place, when no host may order, if the lease is free within their patience.

Measured: plannedStopAnswersThoseWhoWait failed before (connection closed without an answer), passes now; GatewayTest 18 passed.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -13,6 +13,7 @@
 constexpr Millis rateTime = {2'000};     // over which request rates decay
 constexpr double leastRate = 0.02;       // requests a second; below it a model isn't asked for
 constexpr Millis stopSlack = {900};      // a stop ends this much before it has to
+constexpr Millis lastAnswers = {300};    // to tell those who still wait, before the end
 constexpr Millis stopLook = {40};        // between looks whether all is answered
 constexpr std::int64_t addressLives = 3; // callers may keep an address so many times too long
 constexpr Millis storeDeadAfter = {1'200};
@@ -213,6 +214,16 @@
     return std::nullopt;
 }
 
+Millis stopBy(const Gateway &gateway)
+{
+    return gateway.m_stopBegan + gateway.m_settings.m_stopWithin - stopSlack;
+}
+
+Millis lastWaitAt(const Gateway &gateway)
+{
+    return stopBy(gateway) - lastAnswers;
+}
+
 asio::awaitable<void> stopGateway(Gateway &gateway)
 {
     if (gateway.m_stopping)
@@ -223,10 +234,14 @@
     beatNow(gateway);
     begin(gateway, "release", releaseLease(gateway));
     begin(gateway, "unregister", unregisterHost(gateway));
-    const Millis stopBy = gateway.m_stopBegan + gateway.m_settings.m_stopWithin - stopSlack;
     const Millis callersGone
         = gateway.m_stopBegan + gateway.m_settings.m_addressKeep * addressLives;
-    while (now(gateway) < stopBy) {
+    bool told = false; // those who wait, that they can't any longer
+    while (now(gateway) < stopBy(gateway)) {
+        if (!told && now(gateway) >= lastWaitAt(gateway)) {
+            told = true;
+            wakeWaiting(gateway);
+        }
         if (now(gateway) >= callersGone && gateway.m_inFlight == 0)
             break;
         co_await pauseFor(gateway, stopLook);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -170,6 +170,10 @@
 /// A planned stop: no new callers are sent here, those who come are served, then m_io is stopped.
 asio::awaitable<void> stopGateway(Gateway &gateway);
 
+/// When a stopping host ends, and until when its callers may wait for a model.
+Millis stopBy(const Gateway &gateway);
+Millis lastWaitAt(const Gateway &gateway);
+
 /// Reads the settings file again; a faulty one changes nothing.
 void reloadSettings(Gateway &gateway);
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -216,13 +216,21 @@
     return service->second.m_engine->m_models.contains(relay.m_terms.m_model);
 }
 
+/// Until when the request may wait for its model. A stopping host answers before it goes.
+Millis waitLimit(const Relay &relay)
+{
+    const Gateway &gateway = *relay.m_gateway;
+    const Millis patience = relay.m_arrived + relay.m_route->m_target * waitTargets;
+    const Millis limit = std::min(patience, relay.m_deadline);
+    return gateway.m_stopping ? std::min(limit, lastWaitAt(gateway)) : limit;
+}
+
 /// A server for the request, after a wait for its model if need be.
 asio::awaitable<Result<InstanceId>> findServer(Relay &relay)
 {
     Gateway &gateway = *relay.m_gateway;
-    const Millis waitEnd
-        = std::min(relay.m_arrived + relay.m_route->m_target * waitTargets, relay.m_deadline);
     while (true) {
+        const Millis waitEnd = waitLimit(relay);
         relay.m_choice = chooseServer(gateway.m_roster, choiceInput(relay), now(gateway));
         relay.m_rosterRevision = gateway.m_roster.m_revision;
         if (!relay.m_choice.m_server.m_text.empty())
