Swaps don't wait for reports: the server itself is asked

Cause: a cold start waits for an unload and a load.

Change: an order carries the sequence number that the server must have, so it can be tried before the server is free: 409 while it is busy, 202 when not. The load of a swap follows its unload this way, if the weights are on the server and fit. A load that was accepted is repeated from its expected end on: 202 while it is under way, 200 when it holds. Copies at hand are refreshed from one report after each load; reports still settle everything unclear.

swapsDontWaitForReports (reports 6 s old, stand-in answers repeats) failed before, passes now.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -430,6 +430,9 @@
 /// Weights and adapters on a server, MB. Counts adapters on their way.
 double memoryUsed(const EngineLimits &limits, const ServerWord &word);
 
+/// Whether one more model fits on a server; false if its size isn't published.
+bool fitsModel(const EngineLimits &limits, const ServerWord &word, const ModelName &model);
+
 // ---------------------------------------------------------------------------------------------
 // 6. Hosts
 // ---------------------------------------------------------------------------------------------
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -19,6 +19,10 @@
 constexpr Millis followLimit = {20'000};  // an order that takes longer is given up
 constexpr Millis adapterTime = {14};      // a load of an adapter
 constexpr Millis usesFresh = {1'500};     // what hosts told longer ago doesn't count
+constexpr Millis repeatPause = {50};      // between two repeats of an order
+constexpr Millis unloadTime = {60};       // of a model without requests, about
+constexpr Millis unloadLimit = {4'000};   // an unload that waits longer for its requests
+constexpr Millis repeatLimit = {2'000};   // longer than expected: reports have to tell
 constexpr Millis freshFor = {700};        // hosts have told of its first requests by then
 constexpr Millis pendingLimit = {10'000}; // room made for a model is kept for it so long
 constexpr Millis storeWindow = {5'000};   // of the weight store's rate
@@ -169,15 +173,22 @@
     return nullptr;
 }
 
-Millis expectedTime(const Gateway &gateway, const EngineCommand &command, const ServerWord &word,
-                    const ServiceName &service)
+const EngineLimits *limitsOf(const Gateway &gateway, const ServiceName &service)
 {
     const auto found = gateway.m_routes->m_services.find(service);
     if (found == gateway.m_routes->m_services.end() || !found->second.m_engine)
+        return nullptr;
+    return &*found->second.m_engine;
+}
+
+Millis expectedTime(const Gateway &gateway, const EngineCommand &command, const ServerWord &word,
+                    const ServiceName &service)
+{
+    const EngineLimits *limits = limitsOf(gateway, service);
+    if (!limits || command.m_kind == CommandKind::Unload)
         return followPause;
-    const auto &models = found->second.m_engine->m_models;
-    const auto model = models.find(command.m_model);
-    if (model == models.end() || command.m_kind == CommandKind::Unload)
+    const auto model = limits->m_models.find(command.m_model);
+    if (model == limits->m_models.end())
         return followPause;
     if (word.m_inMemory.contains(command.m_model))
         return model->second.m_fromMemory;
@@ -186,6 +197,89 @@
     return model->second.m_fromStore;
 }
 
+/// What a report says of the copies at hand; they change without an order, by eviction.
+asio::awaitable<void> refreshCopies(Gateway &gateway, InstanceId id, Endpoint endpoint)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    co_await pauseFor(gateway, reportLag);
+    const auto read = co_await fetchWord(gateway, endpoint);
+    FollowedServer *server = followed(gateway, id);
+    if (!ok(read) || !server || gateway.m_lease.m_fence != fence)
+        co_return;
+    const auto &word = std::get<ServerWord>(read);
+    if (word.m_born != server->m_word.m_born)
+        co_return;
+    server->m_word.m_inMemory = word.m_inMemory;
+    server->m_word.m_onDisk = word.m_onDisk;
+}
+
+/// Gives an order again and again until the server's answer is none of `waitFor`. Reports would
+/// tell some hundred ms later. The sequence number keeps a repeat from being a new order.
+asio::awaitable<CommandOutcome> repeatCommand(Gateway &gateway, EngineCommand command,
+                                              Endpoint endpoint, std::set<CommandOutcome> waitFor,
+                                              Millis atMost)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    const Millis end = now(gateway) + atMost;
+    while (holdsLease(gateway) && gateway.m_lease.m_fence == fence && now(gateway) < end) {
+        const CommandOutcome outcome = co_await sendCommand(gateway, command, endpoint);
+        if (!waitFor.contains(outcome))
+            co_return outcome;
+        co_await pauseFor(gateway, repeatPause);
+    }
+    co_return CommandOutcome::Unknown;
+}
+
+std::set<CommandOutcome> busyAnswers()
+{
+    return {CommandOutcome::Conflict};
+}
+
+std::set<CommandOutcome> underWayAnswers()
+{
+    return {CommandOutcome::Conflict, CommandOutcome::Accepted};
+}
+
+/// The load was accepted: waits until the model is there. False: a report has to tell.
+asio::awaitable<bool> awaitLoad(Gateway &gateway, EngineCommand command, Endpoint endpoint,
+                                Millis expected)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    co_await pauseFor(gateway, expected);
+    const CommandOutcome outcome
+        = co_await repeatCommand(gateway, command, endpoint, underWayAnswers(), repeatLimit);
+    FollowedServer *server = followed(gateway, command.m_server);
+    if (outcome != CommandOutcome::Holds || !server || gateway.m_lease.m_fence != fence)
+        co_return false;
+    server->m_word.m_busy = false;
+    server->m_word.m_models.push_back({command.m_model, {}});
+    server->m_word.m_onDisk.insert(command.m_model);
+    server->m_settledAt = now(gateway);
+    server->m_inHand = false;
+    announce(gateway, command.m_server, server->m_word);
+    begin(gateway, "copies", refreshCopies(gateway, command.m_server, endpoint));
+    wake(*gateway.m_planNow);
+    co_return true;
+}
+
+/// The load that an unload made room for, if nothing else has to be decided first: the weights are
+/// on the server and there is room for them.
+std::optional<EngineCommand> nextOfSwap(const Gateway &gateway, const EngineCommand &unload,
+                                        const ServerWord &word, const ServiceName &service)
+{
+    const EngineLimits *limits = limitsOf(gateway, service);
+    if (!limits || unload.m_purpose.m_text.empty() || !fitsModel(*limits, word, unload.m_purpose))
+        return std::nullopt;
+    if (!word.m_inMemory.contains(unload.m_purpose) && !word.m_onDisk.contains(unload.m_purpose))
+        return std::nullopt;
+    EngineCommand load;
+    load.m_server = unload.m_server;
+    load.m_model = unload.m_purpose;
+    load.m_sequence = word.m_sequence;
+    load.m_reason = "room_made";
+    return load;
+}
+
 /// An adapter was loaded: it can be used after a moment.
 asio::awaitable<void> finishAdapter(Gateway &gateway, EngineCommand command)
 {
@@ -219,6 +313,54 @@
     announce(gateway, command.m_server, server.m_word);
 }
 
+/// An order that is being carried out changes what is known of the server.
+void noteAccepted(Gateway &gateway, FollowedServer &server, const EngineCommand &command)
+{
+    server.m_word.m_sequence += 1;
+    server.m_word.m_busy = true;
+    server.m_pendingSince = now(gateway);
+    if (command.m_kind == CommandKind::Unload)
+        dropModel(server.m_word, command.m_model);
+    announce(gateway, command.m_server, server.m_word);
+}
+
+/// Follows an order that was accepted to its end, and a swap through its load.
+asio::awaitable<void> followAccepted(Gateway &gateway, EngineCommand command, BackendServer target)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    const Endpoint endpoint = target.m_endpoint;
+    FollowedServer *server = followed(gateway, command.m_server);
+    Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
+    noteAccepted(gateway, *server, command);
+    auto next = nextOfSwap(gateway, command, server->m_word, target.m_service);
+    if (command.m_kind == CommandKind::Unload && next) {
+        wait = expectedTime(gateway, *next, server->m_word, target.m_service);
+        co_await pauseFor(gateway, unloadTime);
+        const CommandOutcome outcome
+            = co_await repeatCommand(gateway, *next, endpoint, busyAnswers(), unloadLimit);
+        logOrder(gateway, *next, outcome);
+        server = followed(gateway, command.m_server);
+        if (!server || gateway.m_lease.m_fence != fence)
+            co_return;
+        countOrder(gateway.m_metrics, OrderKind::Load, outcome == CommandOutcome::Accepted);
+        if (outcome == CommandOutcome::Accepted) {
+            command = *next;
+            noteAccepted(gateway, *server, command);
+        } else {
+            server->m_sequenceKnown = false; // it may have been carried out, or come late
+        }
+    }
+    const bool load = command.m_kind == CommandKind::Load;
+    command.m_sequence = server->m_word.m_sequence;
+    if (!load || !co_await awaitLoad(gateway, command, endpoint, wait))
+        co_await settleServer(gateway, command.m_server, endpoint, load ? Millis{0} : followPause);
+    server = followed(gateway, command.m_server);
+    if (server && gateway.m_lease.m_fence == fence && load) {
+        server->m_pending = {};
+        server->m_loadedAt[command.m_model] = now(gateway);
+    }
+}
+
 /// Sends one order and follows it until the server can take the next.
 asio::awaitable<void> carryOut(Gateway &gateway, EngineCommand command, BackendServer target)
 {
@@ -239,19 +381,7 @@
         co_return;
     }
     if (outcome == CommandOutcome::Accepted) {
-        const Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
-        server->m_word.m_sequence += 1;
-        server->m_word.m_busy = true;
-        if (command.m_kind == CommandKind::Unload)
-            dropModel(server->m_word, command.m_model);
-        server->m_pendingSince = now(gateway);
-        announce(gateway, command.m_server, server->m_word);
-        co_await settleServer(gateway, command.m_server, endpoint, wait);
-        server = followed(gateway, command.m_server);
-        if (server && command.m_kind == CommandKind::Load) {
-            server->m_pending = {};
-            server->m_loadedAt[command.m_model] = now(gateway);
-        }
+        co_await followAccepted(gateway, command, target);
         co_return;
     }
     server->m_sequenceKnown = false;
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -103,8 +103,7 @@
 
 bool fits(const Planner &planner, const PlanServer &server, const EngineModel &model)
 {
-    const EngineLimits &limits = *planner.m_input->m_limits;
-    return memoryUsed(limits, server.m_word) + model.m_weightsMb <= limits.m_weightsMb;
+    return fitsModel(*planner.m_input->m_limits, server.m_word, model.m_name);
 }
 
 /// What it costs, in ms of waiting, to give up a model on a server.
@@ -353,6 +352,13 @@
     return used + largestAdapter * word.m_comingAdapters;
 }
 
+bool fitsModel(const EngineLimits &limits, const ServerWord &word, const ModelName &model)
+{
+    const auto found = limits.m_models.find(model);
+    return found != limits.m_models.end()
+        && memoryUsed(limits, word) + found->second.m_weightsMb <= limits.m_weightsMb;
+}
+
 std::vector<EngineCommand> planPlacement(const PlacementInput &input)
 {
     Planner planner;
