A stopping holder keeps ordering while the store is away

The model that demand had just moved to was on no server: 45 calls in 6 s were refused (no host may order loads).

Change: a host that stops gives the lease back at once if the store answers; else it keeps it, under the other hosts' promises, until the store is back or 0.6 s before its end. It stays as long for that.

Ruled out: handing the lease to a host by name without the store; a host that does not hear of it could still promise or take.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -242,7 +242,8 @@
             told = true;
             wakeWaiting(gateway);
         }
-        if (now(gateway) >= callersGone && gateway.m_inFlight == 0)
+        const bool idle = gateway.m_inFlight == 0 && gateway.m_lease.m_fence == 0;
+        if (now(gateway) >= callersGone && idle)
             break;
         co_await pauseFor(gateway, stopLook);
     }
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -569,7 +569,7 @@
     while (true) {
         co_await sleepUntilWoken(*gateway.m_planNow, planPeriod);
         co_await pauseFor(gateway, planPause);
-        if (holdsLease(gateway) && gateway.m_routes && !gateway.m_stopping)
+        if (holdsLease(gateway) && gateway.m_routes)
             planOnce(gateway);
     }
 }
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -11,6 +11,7 @@
 const char *const leaseName = "orders";
 constexpr Millis holderSilent = {1'300}; // a holder unheard for so long may be gone
 constexpr Millis leaseLook = {100};      // between looks at the lease's state
+constexpr Millis releaseTime = {600};    // to give the lease back before the process ends
 constexpr Millis startSpread = {400};
 constexpr Millis renewalLate = {300};    // a renewal that takes longer: ask the other hosts
 constexpr Millis askPause = {250};       // between two asks
@@ -169,8 +170,6 @@
 {
     const Millis time = now(gateway);
     const Millis age = time - (gateway.m_lease.m_validUntil - gateway.m_leaseTiming.m_length);
-    if (gateway.m_stopping)
-        return;
     if (age >= gateway.m_leaseTiming.m_renew && !gateway.m_renewing) {
         gateway.m_renewing = true;
         begin(gateway, "renew", renewLease(gateway));
@@ -224,6 +223,10 @@
 
 asio::awaitable<void> releaseLease(Gateway &gateway)
 {
+    // With the store away nobody could take it, and callers would wait for nothing.
+    const Millis last = stopBy(gateway) - releaseTime;
+    while (holdsLease(gateway) && gateway.m_storeHealth.m_away && now(gateway) < last)
+        co_await pauseFor(gateway, leaseLook);
     if (gateway.m_lease.m_fence == 0)
         co_return;
     const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fence};
