An answer that comes before a long body is read is taken at once

Cause: the client wrote the whole request before it read. A server that rejects a long request early and reads no further kept the call until its time limit, when both sockets were full.

Change: bodies from 32 KB on are written while the socket is watched for the answer. If that comes first, the rest is left out and the connection is not used again, since the server is owed the rest of that body.

Ruled out: sending the rest after the answer on a kept connection; it costs the caller's time for bytes that nobody reads.

Measured: answerBeforeALongBodyIsReadIsTaken failed before (no answer in 5 s), passes now.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -2,6 +2,7 @@
 #include "connection/http.h"
 
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/url.hpp>
@@ -15,6 +16,7 @@
 constexpr std::size_t readChunkSize = 16UL * 1024;       // bytes
 constexpr std::size_t answerLimit = 8UL * 1024 * 1024;   // bytes of an answer read whole
 constexpr std::size_t swallowLimit = 64UL * 1024 * 1024; // bytes read after a refusal
+constexpr std::size_t longBody = 32UL * 1024; // bytes that a server may answer before it has read
 constexpr Millis swallowTime = {2'000};
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
 
@@ -37,6 +39,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_pooled = false;                             // was idle in the pool before this use
     bool m_whole = false;                              // the answer was read to its end
+    bool m_cutShort = false;                           // the server answered, or closed, early
     std::chrono::steady_clock::time_point m_idleUntil; // valid in the pool
 };
 
@@ -378,6 +381,30 @@
     co_return connection;
 }
 
+namespace {
+
+/// Writes a request. A server may answer before it has read a long body: the rest is then left out,
+/// and the connection can't be used again.
+asio::awaitable<boost::system::error_code>
+writeRequest(HttpConnection &connection, const http::request<http::string_body> &message)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (message.body().size() < longBody) {
+        const auto [error, bytes]
+            = co_await http::async_write(connection.m_stream, message, useAwaitable);
+        co_return error;
+    }
+    const auto first = co_await (
+        http::async_write(connection.m_stream, message, useAwaitable)
+        || connection.m_stream.socket().async_wait(tcp::socket::wait_read, useAwaitable));
+    connection.m_cutShort = first.index() == 1;
+    if (connection.m_cutShort)
+        co_return boost::system::error_code();
+    co_return std::get<0>(std::get<0>(first));
+}
+
+} // namespace
+
 asio::awaitable<std::optional<Failure>> sendRequest(HttpConnection &connection,
                                                     const Endpoint &endpoint,
                                                     const HttpRequest &request, Millis timeout)
@@ -396,8 +423,7 @@
     connection.m_parser->skip(request.m_method == "HEAD");
     connection.m_parser->body_limit(boost::none);
     connection.m_stream.expires_after(toChrono(timeout));
-    const auto [error, bytes]
-        = co_await http::async_write(connection.m_stream, message, useAwaitable);
+    const auto error = co_await writeRequest(connection, message);
     if (!error)
         co_return std::nullopt;
     co_return brokenFailure(error, RunState::Unknown);
@@ -475,8 +501,8 @@
 void releaseHttp(HttpPool &pool, const Endpoint &endpoint, HttpConnectionPtr connection)
 {
     // Bytes beyond the answer belong to no request: such a connection can't be trusted.
-    const bool reusable = connection->m_whole && connection->m_buffer.size() == 0
-        && connection->m_parser->get().keep_alive();
+    const bool reusable = connection->m_whole && !connection->m_cutShort
+        && connection->m_buffer.size() == 0 && connection->m_parser->get().keep_alive();
     auto &idle = pool.m_idle[endpoint];
     if (reusable && idle.size() < pool.m_idleLimit) {
         connection->m_stream.expires_never();
--- /dev/null
+++ b/tests/processes/http.cpp
@@ -0,0 +1,82 @@
+// The HTTP client against servers that don't behave, on loopback.
+#include "connection/http.h"
+
+#include <boost/asio.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+#include <thread>
+
+using namespace apricot;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr Millis limit = {5'000};
+constexpr std::size_t bodySize = 32UL * 1024 * 1024; // bytes; more than both sockets hold
+
+/// Answers as soon as it has the head, and reads nothing of the body until the caller has gone.
+struct EarlyServer
+{
+    EarlyServer() : m_acceptor(m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        m_thread = std::thread([this] {
+            tcp::socket socket = m_acceptor.accept();
+            boost::asio::streambuf head;
+            boost::asio::read_until(socket, head, "\r\n\r\n");
+            const std::string answer = "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nno\n";
+            boost::asio::write(socket, boost::asio::buffer(answer));
+            m_answered.get_future().wait();
+        });
+    }
+    ~EarlyServer()
+    {
+        m_answered.set_value();
+        m_thread.join();
+    }
+    EarlyServer(const EarlyServer &) = delete;
+    EarlyServer &operator=(const EarlyServer &) = delete;
+
+    Endpoint endpoint() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+    boost::asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    std::promise<void> m_answered; // the caller has its answer
+    std::thread m_thread;
+};
+
+HttpRequest longRequest()
+{
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_body = std::string(bodySize, 'x');
+    return request;
+}
+
+} // namespace
+
+class HttpClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpClientTest);
+    CPPUNIT_TEST(answerBeforeALongBodyIsReadIsTaken);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answerBeforeALongBodyIsReadIsTaken()
+    {
+        EarlyServer server;
+        boost::asio::io_context io;
+        HttpPool pool;
+        pool.m_io = &io;
+        const HttpRequest request = longRequest();
+        auto future = boost::asio::co_spawn(io, fetchHttp(pool, server.endpoint(), request, limit),
+                                            boost::asio::use_future);
+        io.run();
+        const Result<HttpResponse> response = future.get();
+        CPPUNIT_ASSERT(ok(response));
+        CPPUNIT_ASSERT_EQUAL(413U, std::get<HttpResponse>(response).m_head.m_status);
+        CPPUNIT_ASSERT(
+            pool.m_idle[server.endpoint()].empty()); // the rest of the body is owed on it
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
