Callers wait for their model as long as they stay, and leave time to come back

Change: modelWait(): 3.6 targets (callers give a silent stream up at four), at most 70 in 100 of the time allowed.

Ruled out: refusing as soon as the target is missed; most of those who wait 3 to 7 s are served, and a caller who returns starts a wait anew.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -287,6 +287,10 @@
 /// that may have run; `candidates`: servers that could be chosen.
 Millis answerTimeout(const Route &route, int runs, int candidates, Millis left);
 
+/// How long a request may wait for its model, out of the time allowed: not until the caller has
+/// given the silent stream up, and not so long that no time is left to come back.
+Millis modelWait(const Route &route, Millis allowed);
+
 /// Notes the end of a use: a good one clears the record of failures.
 void noteUse(KnownServer &known, bool good, Millis time);
 
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -101,6 +101,14 @@
     return std::min(left, std::max(route.m_target, Millis{left.m_count / 2}));
 }
 
+Millis modelWait(const Route &route, Millis allowed)
+{
+    constexpr std::int64_t targets = 36; // tenths; callers give a silent stream up at 40
+    constexpr std::int64_t share = 70;   // percent; the rest is for another try
+    const Millis byTarget = {route.m_target.m_count * targets / 10};
+    return std::min(byTarget, Millis{allowed.m_count * share / 100});
+}
+
 void noteUse(KnownServer &known, bool good, Millis time)
 {
     if (good) {
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -20,7 +20,6 @@
 constexpr Millis swapTime = {1'500}; // to make room for a model and load it from disk
 constexpr Millis comeBackSoon = {300};
 constexpr Millis holderKnownFor = {2'500}; // after it was heard last
-constexpr std::int64_t waitTargets = 3;    // targets that a request waits for its model
 
 /// One request on its way through this host.
 struct Relay
@@ -220,8 +219,8 @@
 Millis waitLimit(const Relay &relay)
 {
     const Gateway &gateway = *relay.m_gateway;
-    const Millis patience = relay.m_arrived + relay.m_route->m_target * waitTargets;
-    const Millis limit = std::min(patience, relay.m_deadline);
+    const Millis allowed = relay.m_deadline - relay.m_arrived;
+    const Millis limit = relay.m_arrived + modelWait(*relay.m_route, allowed);
     return gateway.m_stopping ? std::min(limit, lastWaitAt(gateway)) : limit;
 }
 
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(adapterMustBeThere);
     CPPUNIT_TEST(failedServersComeLastAndComeBack);
     CPPUNIT_TEST(silentServerLeavesTimeOnlyForATryThatIsAllowed);
+    CPPUNIT_TEST(waitingEndsWhileTheCallerIsThereAndCanComeBack);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(budgetForgetsAfterItsWindow);
     CPPUNIT_TEST(eventsAreCutWholeWhereverTheBytesBreak);
@@ -210,6 +211,16 @@
         CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 0, 3, left).m_count);
     }
 
+    /// The load: more rare models than the servers can swap in; some callers get none in time.
+    void waitingEndsWhileTheCallerIsThereAndCanComeBack()
+    {
+        Route route = makeRoute("a", "/", "s");
+        route.m_target = {3'000}; // silent for 12 s, its caller leaves
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{10'800}, modelWait(route, {25'000}).m_count);
+        route.m_target = {2'500};
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'600}, modelWait(route, {8'000}).m_count);
+    }
+
     void retriesStayWithinTheBudget()
     {
         const bool held = rc::check("never more than the share and the slack", [] {
