The lease is model-checked, with four broken variants refuted

Change: spec/lease.pml counts timers down, so its states are finite; steps carry the names of the code's functions. Store writes may be late or lose their answer, hosts may stand still for any time, the other host may promise. In spec/check.sh: as built it holds; no turn, counting from the answer, forgotten promises, promises while an own write is in doubt are each refuted.

Not modelled: restarts of a process, and that code takes a write as impossible after 10 s where the model never does.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -38,4 +38,12 @@
 check release-on-send refuted -DRELEASE_ON_SEND
 check gone-without-drain refuted -DGONE_WITHOUT_DRAIN
 check seen-loaded-resolves holds -DSEEN_LOADED_RESOLVES
+
+model=lease
+echo "bounds: 2 hosts, lease 1 tick, turn 2 ticks, 3 writes done, one write and one question of each host on its way, no restarts"
+check as-built holds
+check no-turn refuted -DNO_TURN
+check count-from-answer refuted -DCOUNT_FROM_ACK
+check forget-promise refuted -DFORGET_PROMISE
+check promise-in-doubt refuted -DPROMISE_IN_DOUBT
 [ $failed = 0 ]
