A release of the lease tells nothing to a host that never saw its record

A host that had started in the outage had never read the record; the beat that tells of the release made it note a record with fencing number 0, and it took the lease with number 1.

Change: seeRelease() in lease.cpp: without a record seen, a release is ignored; the host reads the record itself.

Ruled out: a lost write or an expired lease; the orders are 30 s apart.

Measured: releaseTellsNothingToAHostThatNeverSawTheRecord failed without the guard, passes with it.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -345,6 +345,10 @@
 /// the time from which its holder may count at the latest.
 void seeLease(Lease &lease, const LeaseRecord &record, std::uint64_t revision, Millis since);
 
+/// The holder's process `run` gave the lease back, and its record has that revision now. A host
+/// that never saw the record must read it first: the release doesn't tell the fencing number.
+void seeRelease(Lease &lease, const std::string &run, std::uint64_t revision, Millis time);
+
 /// The holder of that fence can't reach the store and asks for more time. True: granted, and this
 /// host won't take the lease before that time is over. A restart forgets the promise, but a new
 /// process waits as long from the first sight of the record.
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -262,15 +262,16 @@
     co_return true;
 }
 
-/// The load that an unload made room for, if nothing else has to be decided first: the weights are
-/// on the server and there is room for them.
+/// The load that an unload made room for, if nothing else has to be decided first: there is room,
+/// and the weights are on the disk. A copy in memory only may give way to the unloaded model, and
+/// the load would come from the weight store uncounted.
 std::optional<EngineCommand> nextOfSwap(const Gateway &gateway, const EngineCommand &unload,
                                         const ServerWord &word, const ServiceName &service)
 {
     const EngineLimits *limits = limitsOf(gateway, service);
-    if (!limits || unload.m_purpose.m_text.empty() || !fitsModel(*limits, word, unload.m_purpose))
-        return std::nullopt;
-    if (!word.m_inMemory.contains(unload.m_purpose) && !word.m_onDisk.contains(unload.m_purpose))
+    const bool isSwap = unload.m_kind == CommandKind::Unload && !unload.m_purpose.m_text.empty();
+    if (!limits || !isSwap || !fitsModel(*limits, word, unload.m_purpose)
+        || !word.m_onDisk.contains(unload.m_purpose))
         return std::nullopt;
     EngineCommand load;
     load.m_server = unload.m_server;
@@ -324,33 +325,41 @@
     announce(gateway, command.m_server, server.m_word);
 }
 
+/// Gives the load of a swap as soon as the server is done with the unload; true if it was accepted.
+asio::awaitable<bool> beginSwapLoad(Gateway &gateway, EngineCommand load, Endpoint endpoint)
+{
+    const std::uint64_t fence = gateway.m_lease.m_fence;
+    co_await pauseFor(gateway, unloadTime);
+    const CommandOutcome outcome
+        = co_await repeatCommand(gateway, load, endpoint, busyAnswers(), unloadLimit);
+    logOrder(gateway, load, outcome);
+    const bool accepted = outcome == CommandOutcome::Accepted;
+    countOrder(gateway.m_metrics, OrderKind::Load, accepted);
+    FollowedServer *server = followed(gateway, load.m_server);
+    if (!server || gateway.m_lease.m_fence != fence)
+        co_return false;
+    if (accepted)
+        noteAccepted(gateway, *server, load);
+    else
+        server->m_sequenceKnown = false; // it may have been carried out, or come late
+    co_return accepted;
+}
+
 /// Follows an order that was accepted to its end, and a swap through its load.
 asio::awaitable<void> followAccepted(Gateway &gateway, EngineCommand command, BackendServer target)
 {
     const std::uint64_t fence = gateway.m_lease.m_fence;
     const Endpoint endpoint = target.m_endpoint;
     FollowedServer *server = followed(gateway, command.m_server);
-    Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
     noteAccepted(gateway, *server, command);
-    auto next = nextOfSwap(gateway, command, server->m_word, target.m_service);
-    if (command.m_kind == CommandKind::Unload && next) {
-        wait = expectedTime(gateway, *next, server->m_word, target.m_service);
-        co_await pauseFor(gateway, unloadTime);
-        const CommandOutcome outcome
-            = co_await repeatCommand(gateway, *next, endpoint, busyAnswers(), unloadLimit);
-        logOrder(gateway, *next, outcome);
-        server = followed(gateway, command.m_server);
-        if (!server || gateway.m_lease.m_fence != fence)
-            co_return;
-        countOrder(gateway.m_metrics, OrderKind::Load, outcome == CommandOutcome::Accepted);
-        if (outcome == CommandOutcome::Accepted) {
-            command = *next;
-            noteAccepted(gateway, *server, command);
-        } else {
-            server->m_sequenceKnown = false; // it may have been carried out, or come late
-        }
-    }
+    const auto next = nextOfSwap(gateway, command, server->m_word, target.m_service);
+    if (next && co_await beginSwapLoad(gateway, *next, endpoint))
+        command = *next;
+    server = followed(gateway, command.m_server);
+    if (!server || gateway.m_lease.m_fence != fence)
+        co_return;
     const bool load = command.m_kind == CommandKind::Load;
+    const Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
     command.m_sequence = server->m_word.m_sequence;
     if (!load || !co_await awaitLoad(gateway, command, endpoint, wait))
         co_await settleServer(gateway, command.m_server, endpoint, load ? Millis{0} : followPause);
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -168,8 +168,7 @@
     if (beat.fence > 0)
         takeHolderBeat(gateway, peer, beat);
     if (beat.released > 0) {
-        const LeaseRecord record = {{}, beat.run, gateway.m_lease.m_seen.m_fence};
-        seeLease(gateway.m_lease, record, beat.released, time);
+        seeRelease(gateway.m_lease, beat.run, beat.released, time);
         gateway.m_holder = {};
     }
     if (beat.ask > 0)
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -26,6 +26,13 @@
     lease.m_doubtUntil = {-1'000'000}; // a record of ours would have needed the earlier revision
 }
 
+void seeRelease(Lease &lease, const std::string &run, std::uint64_t revision, Millis time)
+{
+    if (!lease.m_anySeen)
+        return;
+    seeLease(lease, {{}, run, lease.m_seen.m_fence}, revision, time);
+}
+
 bool promiseLease(Lease &lease, std::uint64_t fence, Millis time)
 {
     const bool newerSeen = lease.m_anySeen && lease.m_seen.m_fence > fence;
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -6,6 +6,8 @@
 #include "process/gatewaystate.h"
 #include "process/log.h"
 
+#include <cmath>
+
 namespace apricot {
 
 namespace {
@@ -104,7 +106,7 @@
     return failure;
 }
 
-/// A load to two digits, with an avoided server's extra cost told apart.
+/// In hundredths of the server's slots; that of an avoided server is 10,000 higher.
 std::string loadText(double load)
 {
     return std::to_string(std::lround(load * 100));
@@ -114,6 +116,7 @@
 {
     const Gateway &gateway = *relay.m_gateway;
     const Millis took = now(gateway) - relay.m_arrived;
+    const Millis limit = relay.m_route ? relay.m_deadline - relay.m_arrived : Millis{0};
     logEvent("answered",
              {{"id", relay.m_terms.m_id},
               {"route", relay.m_route ? relay.m_route->m_name : ""},
@@ -131,7 +134,7 @@
               {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
               {"pause_ms", std::to_string(relay.m_longestPause.m_count)},
               {"took_ms", std::to_string(took.m_count)},
-              {"limit_ms", std::to_string((relay.m_deadline - relay.m_arrived).m_count)},
+              {"limit_ms", std::to_string(limit.m_count)},
               {"config", relay.m_routes ? std::to_string(relay.m_routes->m_version) : "none"}});
 }
 
--- a/tests/unit/gatewaylease.cpp
+++ b/tests/unit/gatewaylease.cpp
@@ -264,6 +264,7 @@
     CPPUNIT_TEST(renewalStartsTheWaitAnew);
     CPPUNIT_TEST(releasedLeaseIsTakenAfterOneTurn);
     CPPUNIT_TEST(sameMachineTakesItsOwnLeaseAtOnce);
+    CPPUNIT_TEST(releaseTellsNothingToAHostThatNeverSawTheRecord);
     CPPUNIT_TEST(lastHolderComesFirstAfterAllWereKilled);
     CPPUNIT_TEST(promiseHoldsBackASuccessor);
     CPPUNIT_TEST(noPromiseWhileOurOwnWriteIsInDoubt);
@@ -313,6 +314,21 @@
         CPPUNIT_ASSERT(takeableAt(lease, timing, {"other"}) == start);
     }
 
+    /// Hunted day: a host started while the store was away, heard that the lease was given back,
+    /// and took it with the fencing number 1, which the holder had had.
+    void releaseTellsNothingToAHostThatNeverSawTheRecord()
+    {
+        Lease fresh;
+        seeRelease(fresh, "run", 8, start);
+        CPPUNIT_ASSERT(!fresh.m_anySeen);
+        Lease lease;
+        seeLease(lease, otherRecord, 7, start);
+        seeRelease(lease, "run", 8, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, lease.m_revision);
+        CPPUNIT_ASSERT_EQUAL(otherRecord.m_fence, lease.m_seen.m_fence);
+        CPPUNIT_ASSERT(lease.m_seen.m_holder.m_text.empty());
+    }
+
     /// The load: all hosts are killed and start anew at once. By the rank of hosts that all have
     /// just begun, the only one that need not wait would be among the last to try.
     void lastHolderComesFirstAfterAllWereKilled()
