Doubled pieces of the gateway made one

Cause: read as a newcomer, the change since the gateway began had written several things twice: the time of a load and whether a copy is at hand (holder and planner), the load order (two places of the planner), the search for a service's model servers (request path and holder), the check that a followed server and its lease are still there (nine times), back-off after a failure (three loops), a host heard lately (two places), routes behind (two), opening a settings file and its times (two readers), main() of the two daemons.

Change: loadTime(), isCopyThere(), engineOf(), followed() with the fence, backOff(), heardLately(), routesBehind(), loadModel(), openYamlFile() and readTime() in the YAML reader, daemons/settingsmain.h. Nothing else; behaviour, bounds and messages are as before, no test was touched.

Ruled out: one table of names for the three enums with a toText() of their own; their words have nothing in common. The two generated frame headers repeat each other by their generator.

--- a/daemons/apricotd.cpp
+++ b/daemons/apricotd.cpp
@@ -1,18 +1,15 @@
 // apricotd: the daemon, the same on every host.
 #include "process/log.h"
 #include "process/node.h"
+#include "settingsmain.h"
 
 #include <boost/asio.hpp>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <thread>
 
 namespace {
 
 using namespace apricot;
 
-constexpr int badUse = 2; // exit code
-
 std::uint64_t wallClockMs()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -26,7 +23,7 @@
     stopNode(node);
 }
 
-int run(const Settings &settings)
+int run(const Settings &settings, const std::string &)
 {
     startLog(settings.m_host.m_text);
     const auto node = makeNode(settings, wallClockMs());
@@ -54,32 +51,10 @@
     return 0;
 }
 
-int checkAndRun(const std::string &path)
-{
-    const auto read = readSettings(path);
-    if (std::holds_alternative<Settings>(read))
-        return run(std::get<Settings>(read));
-    for (const FileFault &fault : std::get<std::vector<FileFault>>(read))
-        std::cerr << toText(fault) << "\n";
-    return badUse;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options("apricotd", "Serves rarely used models on one host");
-    options.add_options()("settings", "this host's settings file",
-                          cxxopts::value<std::string>())("help", "show this help");
-    try {
-        const auto arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
-            std::cout << options.help();
-            return arguments.count("help") > 0 ? 0 : badUse;
-        }
-        return checkAndRun(arguments["settings"].as<std::string>());
-    } catch (const std::exception &error) {
-        std::cerr << "apricotd: " << error.what() << "\n";
-        return 1;
-    }
+    return settingsMain(argc, argv, "apricotd", "Serves rarely used models on one host",
+                        readSettings, run);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -109,6 +109,9 @@
 /// have a query, `host` a port.
 const Route *matchRoute(const RouteTable &table, std::string_view host, std::string_view target);
 
+/// The model servers of a service; null for a plain or unknown one.
+const EngineLimits *engineOf(const RouteTable &table, const ServiceName &service);
+
 /// The service for a request: the same key gets the same one, in proportion to the weights.
 ServiceName pickService(const Route &route, std::string_view key);
 
@@ -435,6 +438,12 @@
 /// The next orders, at most one for each server.
 std::vector<EngineCommand> planPlacement(const PlacementInput &input);
 
+/// Where the weights are on that server.
+bool isCopyThere(const ServerWord &word, const ModelName &model);
+
+/// A load there takes so long: from its memory, its disk or the weight store.
+Millis loadTime(const EngineModel &model, const ServerWord &word);
+
 /// Weights and adapters on a server, MB. Counts adapters on their way.
 double memoryUsed(const EngineLimits &limits, const ServerWord &word);
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -290,6 +290,12 @@
     co_await timer.async_wait(useAwaitable);
 }
 
+asio::awaitable<void> backOff(Gateway &gateway, Millis &pause, Millis longest)
+{
+    co_await pauseFor(gateway, jittered(gateway, pause));
+    pause = std::min(pause * 2, longest);
+}
+
 Millis jittered(Gateway &gateway, Millis time)
 {
     std::uniform_int_distribution<std::int64_t> draw(time.m_count / 2, time.m_count * 3 / 2);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -185,6 +185,9 @@
 void begin(Gateway &gateway, const char *name, asio::awaitable<void> work);
 asio::awaitable<void> pauseFor(Gateway &gateway, Millis time);
 
+/// Waits about that long after a failure, and doubles it for the next one.
+asio::awaitable<void> backOff(Gateway &gateway, Millis &pause, Millis longest);
+
 /// A time drawn evenly from half to one and a half times the given one, so that hosts spread out.
 Millis jittered(Gateway &gateway, Millis time);
 
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -42,6 +42,12 @@
     return found == gateway.m_placement.m_servers.end() ? nullptr : &found->second;
 }
 
+/// The same, for work that began under that lease; null if the lease is gone, too.
+FollowedServer *followed(Gateway &gateway, const InstanceId &id, std::uint64_t fence)
+{
+    return gateway.m_lease.m_fence == fence ? followed(gateway, id) : nullptr;
+}
+
 asio::awaitable<Result<ServerWord>> fetchWord(Gateway &gateway, Endpoint endpoint)
 {
     HttpRequest request = gateway.m_protocol->askReport();
@@ -62,8 +68,8 @@
     co_await pauseFor(gateway, firstWait);
     while (holdsLease(gateway) && gateway.m_lease.m_fence == fence) {
         const auto read = co_await fetchWord(gateway, endpoint);
-        FollowedServer *server = followed(gateway, id);
-        if (!server || gateway.m_lease.m_fence != fence)
+        FollowedServer *server = followed(gateway, id, fence);
+        if (!server)
             co_return;
         if (ok(read)) {
             const auto &word = std::get<ServerWord>(read);
@@ -91,8 +97,8 @@
         }
         co_await pauseFor(gateway, followPause);
     }
-    FollowedServer *server = followed(gateway, id);
-    if (server && gateway.m_lease.m_fence == fence)
+    FollowedServer *server = followed(gateway, id, fence);
+    if (server)
         server->m_inHand = false;
     wake(*gateway.m_planNow);
 }
@@ -173,28 +179,14 @@
     return nullptr;
 }
 
-const EngineLimits *limitsOf(const Gateway &gateway, const ServiceName &service)
-{
-    const auto found = gateway.m_routes->m_services.find(service);
-    if (found == gateway.m_routes->m_services.end() || !found->second.m_engine)
-        return nullptr;
-    return &*found->second.m_engine;
-}
-
 Millis expectedTime(const Gateway &gateway, const EngineCommand &command, const ServerWord &word,
                     const ServiceName &service)
 {
-    const EngineLimits *limits = limitsOf(gateway, service);
+    const EngineLimits *limits = engineOf(*gateway.m_routes, service);
     if (!limits || command.m_kind == CommandKind::Unload)
         return followPause;
     const auto model = limits->m_models.find(command.m_model);
-    if (model == limits->m_models.end())
-        return followPause;
-    if (word.m_inMemory.contains(command.m_model))
-        return model->second.m_fromMemory;
-    if (word.m_onDisk.contains(command.m_model))
-        return model->second.m_fromDisk;
-    return model->second.m_fromStore;
+    return model == limits->m_models.end() ? followPause : loadTime(model->second, word);
 }
 
 /// What a report says of the copies at hand; they change without an order, by eviction.
@@ -203,8 +195,8 @@
     const std::uint64_t fence = gateway.m_lease.m_fence;
     co_await pauseFor(gateway, reportLag);
     const auto read = co_await fetchWord(gateway, endpoint);
-    FollowedServer *server = followed(gateway, id);
-    if (!ok(read) || !server || gateway.m_lease.m_fence != fence)
+    FollowedServer *server = followed(gateway, id, fence);
+    if (!ok(read) || !server)
         co_return;
     const auto &word = std::get<ServerWord>(read);
     if (word.m_born != server->m_word.m_born)
@@ -248,8 +240,8 @@
     co_await pauseFor(gateway, expected);
     const CommandOutcome outcome
         = co_await repeatCommand(gateway, command, endpoint, underWayAnswers(), repeatLimit);
-    FollowedServer *server = followed(gateway, command.m_server);
-    if (outcome != CommandOutcome::Holds || !server || gateway.m_lease.m_fence != fence)
+    FollowedServer *server = followed(gateway, command.m_server, fence);
+    if (outcome != CommandOutcome::Holds || !server)
         co_return false;
     server->m_word.m_busy = false;
     server->m_word.m_models.push_back({command.m_model, {}});
@@ -268,7 +260,7 @@
 std::optional<EngineCommand> nextOfSwap(const Gateway &gateway, const EngineCommand &unload,
                                         const ServerWord &word, const ServiceName &service)
 {
-    const EngineLimits *limits = limitsOf(gateway, service);
+    const EngineLimits *limits = engineOf(*gateway.m_routes, service);
     const bool isSwap = unload.m_kind == CommandKind::Unload && !unload.m_purpose.m_text.empty();
     if (!limits || !isSwap || !fitsModel(*limits, word, unload.m_purpose)
         || !word.m_onDisk.contains(unload.m_purpose))
@@ -286,8 +278,8 @@
 {
     const std::uint64_t fence = gateway.m_lease.m_fence;
     co_await pauseFor(gateway, adapterTime);
-    FollowedServer *server = followed(gateway, command.m_server);
-    if (!server || gateway.m_lease.m_fence != fence)
+    FollowedServer *server = followed(gateway, command.m_server, fence);
+    if (!server)
         co_return;
     const std::string key = keyOf(command.m_model, command.m_adapter);
     if (server->m_coming.erase(key) == 0)
@@ -335,8 +327,8 @@
     logOrder(gateway, load, outcome);
     const bool accepted = outcome == CommandOutcome::Accepted;
     countOrder(gateway.m_metrics, OrderKind::Load, accepted);
-    FollowedServer *server = followed(gateway, load.m_server);
-    if (!server || gateway.m_lease.m_fence != fence)
+    FollowedServer *server = followed(gateway, load.m_server, fence);
+    if (!server)
         co_return false;
     if (accepted)
         noteAccepted(gateway, *server, load);
@@ -350,21 +342,21 @@
 {
     const std::uint64_t fence = gateway.m_lease.m_fence;
     const Endpoint endpoint = target.m_endpoint;
-    FollowedServer *server = followed(gateway, command.m_server);
+    FollowedServer *server = followed(gateway, command.m_server, fence);
     noteAccepted(gateway, *server, command);
     const auto next = nextOfSwap(gateway, command, server->m_word, target.m_service);
     if (next && co_await beginSwapLoad(gateway, *next, endpoint))
         command = *next;
-    server = followed(gateway, command.m_server);
-    if (!server || gateway.m_lease.m_fence != fence)
+    server = followed(gateway, command.m_server, fence);
+    if (!server)
         co_return;
     const bool load = command.m_kind == CommandKind::Load;
     const Millis wait = expectedTime(gateway, command, server->m_word, target.m_service);
     command.m_sequence = server->m_word.m_sequence;
     if (!load || !co_await awaitLoad(gateway, command, endpoint, wait))
         co_await settleServer(gateway, command.m_server, endpoint, load ? Millis{0} : followPause);
-    server = followed(gateway, command.m_server);
-    if (server && gateway.m_lease.m_fence == fence && load) {
+    server = followed(gateway, command.m_server, fence);
+    if (server && load) {
         server->m_pending = {};
         server->m_loadedAt[command.m_model] = now(gateway);
     }
@@ -377,8 +369,8 @@
     const Endpoint endpoint = target.m_endpoint;
     const CommandOutcome outcome = co_await sendCommand(gateway, command, endpoint);
     logOrder(gateway, command, outcome);
-    FollowedServer *server = followed(gateway, command.m_server);
-    if (!server || gateway.m_lease.m_fence != fence)
+    FollowedServer *server = followed(gateway, command.m_server, fence);
+    if (!server)
         co_return;
     const bool adapter = !command.m_adapter.m_text.empty();
     const bool done = outcome == CommandOutcome::Accepted || outcome == CommandOutcome::Holds;
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -26,6 +26,11 @@
 constexpr int beatTargets = 8;            // hosts that hear each periodic beat
 constexpr std::size_t datagramLimit = 60'000; // bytes
 
+bool heardLately(const Gateway &gateway, const Peer &peer)
+{
+    return now(gateway) - peer.m_heard < silentAfter;
+}
+
 std::string packBeat(const wire::BeatT &beat)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -284,8 +289,7 @@
     Millis pause = {100};
     constexpr Millis longest = {2'000};
     while (!gateway.m_stopping && !co_await writeOwnEntry(gateway)) {
-        co_await pauseFor(gateway, jittered(gateway, pause));
-        pause = std::min(pause * 2, longest);
+        co_await backOff(gateway, pause, longest);
     }
     logEvent("registered", {{"revision", std::to_string(gateway.m_hostRevision)}});
 }
@@ -423,7 +427,7 @@
         return 0;
     int rank = 0;
     for (const auto &[host, peer] : gateway.m_peers) {
-        const bool heard = peer.m_ready && now(gateway) - peer.m_heard < silentAfter;
+        const bool heard = peer.m_ready && heardLately(gateway, peer);
         if (heard && (host < self || host == gateway.m_holder))
             ++rank;
     }
@@ -500,7 +504,7 @@
     if (isReady(gateway))
         addresses.push_back(gateway.m_settings.m_caller);
     for (const auto &[host, peer] : gateway.m_peers) {
-        const bool heard = now(gateway) - peer.m_heard < silentAfter;
+        const bool heard = heardLately(gateway, peer);
         if (heard && peer.m_ready)
             addresses.push_back(peer.m_entry.m_caller);
         else if (!heard)
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -84,21 +84,25 @@
     planner.m_commands.push_back(std::move(command));
 }
 
-/// Loading time there, in ms; `never` if it can't begin now.
-double loadTime(const Planner &planner, const PlanServer &server, const EngineModel &model)
-{
-    if (server.m_word.m_inMemory.contains(model.m_name))
-        return static_cast<double>(model.m_fromMemory.m_count);
-    if (server.m_word.m_onDisk.contains(model.m_name))
-        return static_cast<double>(model.m_fromDisk.m_count);
-    if (!planner.m_storeLoadDue)
+/// What a load there costs, in ms; `never` if it can't begin now.
+double loadCost(const Planner &planner, const PlanServer &server, const EngineModel &model)
+{
+    if (!planner.m_storeLoadDue && !isCopyThere(server.m_word, model.m_name))
         return never;
-    return static_cast<double>(model.m_fromStore.m_count);
+    return static_cast<double>(loadTime(model, server.m_word).m_count);
 }
 
-bool isCopyThere(const PlanServer &server, const ModelName &model)
+/// Orders a load; one from the store uses up the one that is due.
+void loadModel(Planner &planner, const PlanServer &server, const ModelName &model,
+               const char *reason)
 {
-    return server.m_word.m_inMemory.contains(model) || server.m_word.m_onDisk.contains(model);
+    EngineCommand order;
+    order.m_model = model;
+    order.m_fromStore = !isCopyThere(server.m_word, model);
+    order.m_reason = reason;
+    if (order.m_fromStore)
+        planner.m_storeLoadDue = false;
+    command(planner, order, server);
 }
 
 bool fits(const Planner &planner, const PlanServer &server, const EngineModel &model)
@@ -158,7 +162,7 @@
             continue;
         if (holdsModel(server.m_word, model.m_name, {}))
             continue;
-        double cost = loadTime(planner, server, model);
+        double cost = loadCost(planner, server, model);
         ModelName leaving;
         if (!fits(planner, server, model)) {
             const Victim victim = cheapestVictim(planner, server, model.m_name);
@@ -176,19 +180,15 @@
     const Way way = cheapestWay(planner, model);
     if (!way.m_server || way.m_cost > mostCost)
         return;
-    EngineCommand order;
-    order.m_reason = reason;
-    if (!way.m_victim.m_text.empty()) {
-        order.m_kind = CommandKind::Unload;
-        order.m_model = way.m_victim;
-        order.m_purpose = model.m_name;
-        command(planner, order, *way.m_server);
+    if (way.m_victim.m_text.empty()) {
+        loadModel(planner, *way.m_server, model.m_name, reason);
         return;
     }
-    order.m_model = model.m_name;
-    order.m_fromStore = !isCopyThere(*way.m_server, model.m_name);
-    if (order.m_fromStore)
-        planner.m_storeLoadDue = false;
+    EngineCommand order;
+    order.m_kind = CommandKind::Unload;
+    order.m_model = way.m_victim;
+    order.m_purpose = model.m_name;
+    order.m_reason = reason;
     command(planner, order, *way.m_server);
 }
 
@@ -207,16 +207,9 @@
         const EngineModel *model = modelOf(planner, server.m_pending);
         if (!model || holdsModel(server.m_word, model->m_name, {}))
             continue;
-        const bool copyThere = isCopyThere(server, model->m_name);
-        if (!fits(planner, server, *model) || (!copyThere && !planner.m_storeLoadDue))
-            continue;
-        EngineCommand order;
-        order.m_model = model->m_name;
-        order.m_fromStore = !copyThere;
-        order.m_reason = "room_made";
-        if (order.m_fromStore)
-            planner.m_storeLoadDue = false;
-        command(planner, order, server);
+        const bool mayLoad = planner.m_storeLoadDue || isCopyThere(server.m_word, model->m_name);
+        if (fits(planner, server, *model) && mayLoad)
+            loadModel(planner, server, model->m_name, "room_made");
     }
 }
 
@@ -336,6 +329,18 @@
     sum.m_running += demand.m_running;
 }
 
+bool isCopyThere(const ServerWord &word, const ModelName &model)
+{
+    return word.m_inMemory.contains(model) || word.m_onDisk.contains(model);
+}
+
+Millis loadTime(const EngineModel &model, const ServerWord &word)
+{
+    if (word.m_inMemory.contains(model.m_name))
+        return model.m_fromMemory;
+    return word.m_onDisk.contains(model.m_name) ? model.m_fromDisk : model.m_fromStore;
+}
+
 double memoryUsed(const EngineLimits &limits, const ServerWord &word)
 {
     double used = 0;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -2,9 +2,6 @@
 #include "apricot.h"
 #include "version/yamlreader.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace apricot {
 
 namespace {
@@ -12,25 +9,17 @@
 constexpr IntBounds threadBounds = {1, 64};
 constexpr IntBounds sizeBounds = {1, 64 << 20};   // bytes
 constexpr IntBounds queueBounds = {1, 1'000'000}; // requests
-constexpr IntBounds timeBounds = {1, 3'600'000};  // ms
-
-Millis readTime(YamlMap &map, const std::string &key, Millis fallback)
-{
-    return {readInt(map, key, fallback.m_count, timeBounds)};
-}
 
 } // namespace
 
 std::variant<Settings, std::vector<FileFault>> readSettings(const std::string &path)
 {
-    std::ifstream stream(path);
-    if (!stream)
-        return std::vector<FileFault>{{path, 0, "", "the file can't be opened"}};
-    std::stringstream text;
-    text << stream.rdbuf();
     YamlFile file;
     file.m_path = path;
-    YamlMap map = openYaml(file, text.str());
+    std::optional<YamlMap> opened = openYamlFile(file);
+    if (!opened)
+        return file.m_faults;
+    YamlMap &map = *opened;
     Settings settings;
     settings.m_host.m_text = readName(map, "host", true);
     settings.m_dataCentre.m_text = readName(map, "data-centre", true);
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -235,8 +235,7 @@
     const auto page
         = co_await fetchPage(gateway, kind, std::move(request), watchWait + callTimeout, outcome);
     if (!page) {
-        co_await pauseFor(gateway, jittered(gateway, pause));
-        pause = std::min(pause * 2, longestPause);
+        co_await backOff(gateway, pause, longestPause);
         if (outcome != StoreOutcome::HistoryGone)
             co_return revision;
         logEvent("history_gone", {{"kind", toText(kind)}});
@@ -262,8 +261,7 @@
         const auto revision = co_await listAll(gateway, kind);
         if (revision)
             co_return *revision;
-        co_await pauseFor(gateway, jittered(gateway, pause));
-        pause = std::min(pause * 2, longestPause);
+        co_await backOff(gateway, pause, longestPause);
     }
 }
 
@@ -276,6 +274,11 @@
     co_return reply.m_outcome == StoreOutcome::Done;
 }
 
+bool routesBehind(const Gateway &gateway, std::uint64_t version)
+{
+    return !gateway.m_routes || gateway.m_routes->m_version < version;
+}
+
 bool serversBehind(const Gateway &gateway, std::uint64_t digest, std::uint64_t revision)
 {
     return revision > gateway.m_roster.m_revision && digest != digestOf(gateway.m_roster);
@@ -285,8 +288,7 @@
                                    std::uint64_t revision)
 {
     co_await pauseFor(gateway, jittered(gateway, catchUpPause));
-    const bool routesBehind = !gateway.m_routes || gateway.m_routes->m_version < routes;
-    if (routesBehind)
+    if (routesBehind(gateway, routes))
         co_await readRoutesAnew(gateway);
     if (serversBehind(gateway, digest, revision))
         wake(*gateway.m_listNow);
@@ -340,8 +342,8 @@
 
 void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision)
 {
-    const bool routesBehind = !gateway.m_routes || gateway.m_routes->m_version < routes;
-    if (gateway.m_catchingUp || (!routesBehind && !serversBehind(gateway, digest, revision)))
+    const bool behind = routesBehind(gateway, routes) || serversBehind(gateway, digest, revision);
+    if (gateway.m_catchingUp || !behind)
         return;
     gateway.m_catchingUp = true;
     begin(gateway, "catch_up", catchUpLater(gateway, routes, digest, revision));
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -212,10 +212,8 @@
 
 bool modelPublished(const Relay &relay)
 {
-    const auto service = relay.m_routes->m_services.find(relay.m_service);
-    if (service == relay.m_routes->m_services.end() || !service->second.m_engine)
-        return false;
-    return service->second.m_engine->m_models.contains(relay.m_terms.m_model);
+    const EngineLimits *engine = engineOf(*relay.m_routes, relay.m_service);
+    return engine && engine->m_models.contains(relay.m_terms.m_model);
 }
 
 /// Until when the request may wait for its model. A stopping host answers before it goes.
--- a/src/version/routes.cpp
+++ b/src/version/routes.cpp
@@ -41,6 +41,14 @@
     return nullptr;
 }
 
+const EngineLimits *engineOf(const RouteTable &table, const ServiceName &service)
+{
+    const auto found = table.m_services.find(service);
+    if (found == table.m_services.end() || !found->second.m_engine)
+        return nullptr;
+    return &*found->second.m_engine;
+}
+
 ServiceName pickService(const Route &route, std::string_view key)
 {
     assert(!route.m_services.empty() && "the protocol must not let a route without services in");
--- a/src/version/yamlreader.cpp
+++ b/src/version/yamlreader.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cctype>
 #include <cmath>
+#include <fstream>
+#include <sstream>
 
 namespace apricot {
 
@@ -80,6 +82,18 @@
     return map;
 }
 
+std::optional<YamlMap> openYamlFile(YamlFile &file)
+{
+    std::ifstream stream(file.m_path);
+    if (!stream) {
+        file.m_faults.push_back({file.m_path, 0, "", "the file can't be opened"});
+        return {};
+    }
+    std::stringstream text;
+    text << stream.rdbuf();
+    return openYaml(file, text.str());
+}
+
 void addFault(const YamlMap &map, const std::string &key, const std::string &message)
 {
     int line = lineOf(map.m_node);
@@ -126,6 +140,12 @@
     return fallback;
 }
 
+Millis readTime(YamlMap &map, const std::string &key, Millis fallback)
+{
+    constexpr IntBounds bounds = {1, 3'600'000}; // ms
+    return {readInt(map, key, fallback.m_count, bounds)};
+}
+
 double readReal(YamlMap &map, const std::string &key, double fallback, double above)
 {
     const auto node = fetch(map, key, false);
--- a/src/version/yamlreader.h
+++ b/src/version/yamlreader.h
@@ -34,6 +34,9 @@
 /// Parses the text; on a syntax error a fault and an empty map.
 YamlMap openYaml(YamlFile &file, const std::string &text);
 
+/// The same for the file at file.m_path; nothing, and a fault, if it can't be opened.
+std::optional<YamlMap> openYamlFile(YamlFile &file);
+
 void addFault(const YamlMap &map, const std::string &key, const std::string &message);
 
 bool hasKey(const YamlMap &map, const std::string &key);
@@ -42,6 +45,9 @@
 /// A text that may stand in a URL, a log line and a key: letters, digits, '-', '_', '.'.
 std::string readName(YamlMap &map, const std::string &key, bool required);
 std::int64_t readInt(YamlMap &map, const std::string &key, std::int64_t fallback, IntBounds bounds);
+
+/// Milliseconds, from 1 ms to an hour.
+Millis readTime(YamlMap &map, const std::string &key, Millis fallback);
 double readReal(YamlMap &map, const std::string &key, double fallback, double above);
 bool readBool(YamlMap &map, const std::string &key, bool fallback);
 Endpoint readEndpoint(YamlMap &map, const std::string &key, bool required);
