Observability: delay of the event loop, age of the server list at a choice, slow store calls

New: loop_late with the longest delay and the longest plan, store_slow, servers_age_ms and send_ms in answered lines, three histograms.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -196,6 +196,7 @@
 {
     std::map<InstanceId, KnownServer> m_servers;
     std::uint64_t m_revision = 0; // store revision at which m_servers was the complete list
+    Millis m_confirmedAt;         // latest time at which m_servers was known to be up to date
 };
 
 /// Returns the status to rely on. That is the lease holder's status update, which includes orders
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -102,8 +102,17 @@
 /// Availability of the platform's store.
 struct StoreHealth
 {
-    bool m_unavailable = false;          // the last request to the store failed
-    Millis m_recoveredAt = {-1'000'000}; // when the store last answered again after an outage
+    bool m_unavailable = false;           // the last request to the store failed
+    Millis m_recoveredAt = {-1'000'000};  // when the store last answered again after an outage
+    Millis m_slowLoggedAt = {-1'000'000}; // when a slow call was last logged
+};
+
+/// How busy the event loop is, over the period since it was last logged.
+struct LoopLoad
+{
+    Millis m_longestDelay; // of a timer
+    Millis m_longestPlan;  // computation of a placement plan
+    Millis m_loggedAt = {-1'000'000};
 };
 
 /// The holder's last request for an extension of its lease, sent to all other hosts. Valid if
@@ -131,6 +140,7 @@
     HttpPool m_store;   // connections to the platform's store
     HttpPool m_servers; // connections to backend servers
     StoreHealth m_storeHealth;
+    LoopLoad m_loopLoad;
 
     std::shared_ptr<const RouteTable> m_routes; // null until the first configuration is known
     std::shared_ptr<HttpServerOptions> m_callerOptions;
@@ -214,6 +224,16 @@
 /// act in step.
 Millis jittered(Gateway &gateway, Millis time);
 
+// --- looplag.cpp: load of the event loop ---
+
+/// Measures how late the event loop runs its timers, and logs `loop_late` when it is well behind.
+/// Everything that a host knows is then late by as much: answers of the store, heartbeats,
+/// requests.
+asio::awaitable<void> watchLoop(Gateway &gateway);
+
+/// Records the time that the computation of a placement plan took.
+void recordPlanTime(Gateway &gateway, Millis took);
+
 // --- relay.cpp: callers' requests ---
 
 /// Handles one request of a caller, up to the end of its answer.
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -604,8 +604,11 @@
     while (true) {
         co_await sleepUntilWoken(*gateway.m_planTrigger, planPeriod);
         co_await pauseFor(gateway, planPause);
-        if (holdsLease(gateway) && gateway.m_routes)
-            planOnce(gateway);
+        if (!holdsLease(gateway) || !gateway.m_routes)
+            continue;
+        const Millis began = now(gateway);
+        planOnce(gateway);
+        recordPlanTime(gateway, now(gateway) - began);
     }
 }
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -203,8 +203,11 @@
         handleExtensionRequest(gateway, peer, heartbeat);
     if (heartbeat.promise > 0)
         handleExtensionGrant(gateway, host, heartbeat.promise);
-    if (heartbeat.audited)
+    if (heartbeat.audited) {
         gateway.m_lastResyncAt = time;
+        if (heartbeat.servers_digest == digestOf(gateway.m_serverTable))
+            gateway.m_serverTable.m_confirmedAt = time;
+    }
     catchUp(gateway, heartbeat.routes, heartbeat.servers_digest, heartbeat.servers_revision);
     if (heartbeat.tells_use) {
         peer.m_modelDemands.clear();
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -16,7 +16,7 @@
 using prometheus::Histogram;
 using prometheus::Registry;
 
-constexpr std::size_t latencyKindCount = 5;
+constexpr std::size_t latencyKindCount = 8;
 constexpr double msPerSecond = 1000;
 
 struct MetricsRegistry
@@ -69,6 +69,9 @@
         makeHistogram(registry, "apricot_cold_start_seconds", "Load decided to replica ready"),
         makeHistogram(registry, "apricot_queue_seconds", "Request to replica chosen"),
         makeHistogram(registry, "apricot_whole_seconds", "Request to end of answer"),
+        makeHistogram(registry, "apricot_loop_delay_seconds", "Timer due to timer run"),
+        makeHistogram(registry, "apricot_plan_seconds", "Computation of one placement plan"),
+        makeHistogram(registry, "apricot_store_call_seconds", "Call to the store, no watches"),
     };
     made->m_orders = &BuildCounter()
                           .Name("apricot_orders_total")
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -22,7 +22,10 @@
     BetweenTokens, // between successive events of a stream
     ColdStart,     // decision on a load to the model being ready
     Queue,         // time that a request waited for a replica
-    Whole          // arrival of a request to the end of its response
+    Whole,         // arrival of a request to the end of its response
+    LoopDelay,     // a timer's due time to the time at which the event loop ran it
+    Plan,          // computation of one placement plan
+    StoreCall      // a call to the platform's store, except watches
 };
 
 Metrics makeMetrics();
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -29,6 +29,8 @@
 constexpr Millis catchUpDelay = {60};
 constexpr Millis serverListInterval = {10'000}; // between two lists if nothing triggers one
 constexpr Millis minServerListInterval = {100};
+constexpr Millis slowCall = {500};          // a call that takes longer is logged
+constexpr Millis slowLogInterval = {1'000}; // at most one line for slow calls in this time
 
 const char *toText(ObjectKind kind)
 {
@@ -61,6 +63,24 @@
     logEvent("store_back", {{"call", what}});
 }
 
+/// Records how long a call took, and logs slow ones at a limited rate.
+void recordStoreCallTime(Gateway &gateway, const char *what, Millis took,
+                         const Result<HttpResponse> &response)
+{
+    observe(gateway.m_metrics, LatencyKind::StoreCall, took);
+    StoreHealth &health = gateway.m_storeHealth;
+    if (took < slowCall || now(gateway) - health.m_slowLoggedAt < slowLogInterval)
+        return;
+    health.m_slowLoggedAt = now(gateway);
+    const std::size_t bytes
+        = ok(response) ? std::get<HttpResponse>(response).m_body.size() : std::size_t{0};
+    logWarning("store_slow",
+               {{"call", what},
+                {"took_ms", std::to_string(took.m_count)},
+                {"bytes", std::to_string(bytes)},
+                {"answered", ok(response) ? "yes" : "no"}});
+}
+
 /// Applies the configuration, which is the object named "main", if it is newer than the one in
 /// force.
 void applyRouteTable(Gateway &gateway, const StoredObject &object)
@@ -191,6 +211,7 @@
 {
     std::set<std::string> listed;
     std::string after;
+    const Millis began = now(gateway);
     while (true) {
         StoreOutcome outcome = StoreOutcome::Unknown;
         HttpRequest request = gateway.m_protocol->listObjects(kind, after);
@@ -208,6 +229,8 @@
             if (kind == ObjectKind::Servers) {
                 gateway.m_serverTableLoaded = true;
                 gateway.m_serverTable.m_revision = page->m_revision;
+                gateway.m_serverTable.m_confirmedAt
+                    = std::max(gateway.m_serverTable.m_confirmedAt, began);
             }
             wakeWaiting(gateway);
             co_return page->m_revision;
@@ -220,10 +243,15 @@
 asio::awaitable<Result<HttpResponse>> callStore(Gateway &gateway, const char *what,
                                                 HttpRequest request, Millis timeout)
 {
+    const Millis began = now(gateway);
     auto response = co_await fetchHttp(gateway.m_store, gateway.m_settings.m_platform,
                                        std::move(request), timeout);
     if (!ok(response))
         recordStoreCall(gateway, what, false, std::get<Failure>(response).m_detail);
+    const bool watch
+        = timeout > callTimeout; // the store holds a watch open until there is a change
+    if (!watch)
+        recordStoreCallTime(gateway, what, now(gateway) - began, response);
     co_return response;
 }
 
@@ -263,8 +291,10 @@
     pause = initialBackoff;
     for (const StoredObject &object : page->m_objects)
         applyObject(gateway, kind, object);
-    if (kind == ObjectKind::Servers)
+    if (kind == ObjectKind::Servers) {
         gateway.m_serverTable.m_revision = page->m_revision;
+        gateway.m_serverTable.m_confirmedAt = now(gateway);
+    }
     if (!page->m_objects.empty())
         wakeWaiting(gateway);
     const bool returnedEarly = page->m_objects.empty() && now(gateway) - began < emptyWatchDelay;
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -45,6 +45,9 @@
     Millis m_modelWaitTime;                  // total time spent waiting for the model
     ServerChoice m_choice;                   // result of the last server selection
     std::uint64_t m_serverTableRevision = 0; // store revision of the server table used for m_choice
+    Millis m_serverTableAge;                 // time from its last confirmation to m_choice
+    Millis m_chosenAt;                       // time of m_choice
+    Millis m_sendDelay;                      // from m_chosenAt to the first byte sent to the server
     Millis m_firstEvent;      // ms from the arrival to the first event; 0: no event yet
     Millis m_lastEvent;       // when the last event arrived
     Millis m_longestEventGap; // between two successive events
@@ -140,6 +143,8 @@
               {"candidates", std::to_string(relay.m_choice.m_candidates)},
               {"load", loadText(relay.m_choice.m_load)},
               {"servers_revision", std::to_string(relay.m_serverTableRevision)},
+              {"servers_age_ms", std::to_string(relay.m_serverTableAge.m_count)},
+              {"send_ms", std::to_string(relay.m_sendDelay.m_count)},
               {"sends", std::to_string(relay.m_sends)},
               {"waited_ms", std::to_string(relay.m_modelWaitTime.m_count)},
               {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
@@ -248,8 +253,10 @@
     Gateway &gateway = *relay.m_gateway;
     while (true) {
         const Millis waitEnd = modelWaitEnd(relay);
-        relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), now(gateway));
+        relay.m_chosenAt = now(gateway);
+        relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
         relay.m_serverTableRevision = gateway.m_serverTable.m_revision;
+        relay.m_serverTableAge = relay.m_chosenAt - gateway.m_serverTable.m_confirmedAt;
         if (!relay.m_choice.m_server.m_text.empty())
             co_return relay.m_choice.m_server;
         if (!relay.m_refusedBy.empty()) {
@@ -539,6 +546,7 @@
     const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
     relay.m_server = connection.get();
     relay.m_sends += 1;
+    relay.m_sendDelay = now(gateway) - relay.m_chosenAt;
     SendResult result;
     const HttpRequest request = requestFor(relay, id);
     const auto sendFailure
