Failing test: a plan at the design size fills the processor of the lease holder

Cause: one placement plan compares each waiting model with each server, each loaded model, each demand and, for the memory, each published model. The lease holder plans without pause on the thread that also handles watches, heartbeats and requests.

--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -3,6 +3,8 @@
 #include "gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <ctime>
+#include <limits>
 #include <random>
 
 using namespace apricot;
@@ -69,6 +71,42 @@
     return text;
 }
 
+/// Processor time that this thread has used, in ms. Unlike elapsed time it doesn't grow while other
+/// processes use the core.
+double threadCpuMs()
+{
+    timespec used = {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
+}
+
+/// The size that the system is designed for: servers, models, and models with recent demand.
+constexpr int designServers = 600;
+constexpr int designModels = 1'200;
+constexpr int designDemands = 600;
+
+/// Servers with two models loaded and 20 on disk each, and demands of which one in four waits.
+PlacementInput designSizeInput(const EngineLimits &limits)
+{
+    std::mt19937 random(1);
+    const auto anyModel = [&] { return "m" + std::to_string(random() % designModels); };
+    PlacementInput input;
+    input.m_limits = &limits;
+    for (int number = 0; number < designServers; ++number) {
+        std::vector<std::string> disk;
+        for (int copy = 0; copy < 20; ++copy)
+            disk.push_back(anyModel());
+        input.m_servers.push_back(
+            makeServer("i-" + std::to_string(number), {anyModel(), anyModel()}, disk));
+    }
+    for (int number = 0; number < designDemands; ++number) {
+        ModelDemand demand = waitingFor(anyModel(), number % 4 == 0 ? 1 : 0);
+        demand.m_rate = 0.5;
+        input.m_demands.push_back(demand);
+    }
+    return input;
+}
+
 /// A simulated model server. It executes one order at a time; loads from disk take less time than
 /// loads from the weight store.
 struct SimServer
@@ -99,6 +137,7 @@
     CPPUNIT_TEST(replicaCountFollowsTheRequestRate);
     CPPUNIT_TEST(noOrderWhileTheSequenceIsUnknown);
     CPPUNIT_TEST(rareModelsAreSwappedInWithinTheWaitLimit);
+    CPPUNIT_TEST(planAtDesignSizeTakesAFractionOfTheProcessor);
     CPPUNIT_TEST_SUITE_END();
 
     static PlacementInput input(const EngineLimits &limits, std::vector<PlanServer> servers,
@@ -372,6 +411,26 @@
                                longestWait <= Millis{4'000});
     }
 
+    /// Guards against a lease holder whose planning fills its processor, so that it handles changes
+    /// of servers and of the configuration seconds late while it forwards requests. A plan is due
+    /// every 400 ms, and a host may use 3.3 % of a core for control.
+    void planAtDesignSizeTakesAFractionOfTheProcessor()
+    {
+        const EngineLimits limits = makeLimits(designModels);
+        const PlacementInput plan = designSizeInput(limits);
+        constexpr double planPeriod = 400; // ms
+        constexpr double controlShare = 0.033;
+        constexpr int attempts = 5;
+        double least = std::numeric_limits<double>::max();
+        for (int attempt = 0; attempt < attempts; ++attempt) {
+            const double began = threadCpuMs();
+            CPPUNIT_ASSERT(!planPlacement(plan).empty());
+            least = std::min(least, threadCpuMs() - began);
+        }
+        CPPUNIT_ASSERT_MESSAGE("a plan took " + std::to_string(least) + " ms",
+                               least <= planPeriod * controlShare);
+    }
+
 private:
     static void beginOrder(std::vector<SimServer> &servers, const EngineCommand &command,
                            const EngineLimits &limits, Millis time)
