--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -107,12 +107,12 @@
     Millis m_slowLoggedAt = {-1'000'000}; // when a slow call was last logged
 };
 
-/// How busy the event loop is, over the period since it was last logged.
+/// Load of the event loop since m_since.
 struct LoopLoad
 {
     Millis m_longestDelay; // of a timer
-    Millis m_longestPlan;  // computation of a placement plan
-    Millis m_loggedAt = {-1'000'000};
+    Millis m_planTime;     // total time spent in computing placement plans
+    Millis m_since;
 };
 
 /// The holder's last request for an extension of its lease, sent to all other hosts. Valid if
--- a/src/process/looplag.cpp
+++ b/src/process/looplag.cpp
@@ -7,21 +7,26 @@
 namespace {
 
 constexpr Millis measureInterval = {200};
-constexpr Millis lateDelay = {150};     // a delay from here on is logged
-constexpr Millis logInterval = {1'000}; // at most one line in this time
+constexpr Millis logInterval = {1'000}; // period of one measurement, and at most one line for it
+/// A delay from here on is logged. An answer of the store takes tens of turns of the loop to read,
+/// and each of them may be as late.
+constexpr Millis lateDelay = {50};
 
 void logIfLate(Gateway &gateway, Millis time)
 {
     LoopLoad &load = gateway.m_loopLoad;
-    if (load.m_longestDelay < lateDelay || time - load.m_loggedAt < logInterval)
+    const Millis period = time - load.m_since;
+    if (period < logInterval)
         return;
-    logWarning("loop_late",
-               {{"delay_ms", std::to_string(load.m_longestDelay.m_count)},
-                {"plan_ms", std::to_string(load.m_longestPlan.m_count)},
-                {"in_flight", std::to_string(gateway.m_inFlight)},
-                {"holder", holdsLease(gateway) ? "yes" : "no"}});
+    if (load.m_longestDelay >= lateDelay)
+        logWarning("loop_late",
+                   {{"delay_ms", std::to_string(load.m_longestDelay.m_count)},
+                    {"plans_ms", std::to_string(load.m_planTime.m_count)},
+                    {"period_ms", std::to_string(period.m_count)},
+                    {"in_flight", std::to_string(gateway.m_inFlight)},
+                    {"holder", holdsLease(gateway) ? "yes" : "no"}});
     load = {};
-    load.m_loggedAt = time;
+    load.m_since = time;
 }
 
 } // namespace
@@ -42,7 +47,7 @@
 void recordPlanTime(Gateway &gateway, Millis took)
 {
     observe(gateway.m_metrics, LatencyKind::Plan, took);
-    gateway.m_loopLoad.m_longestPlan = std::max(gateway.m_loopLoad.m_longestPlan, took);
+    gateway.m_loopLoad.m_planTime = gateway.m_loopLoad.m_planTime + took;
 }
 
 } // namespace apricot
