--- a/src/gateway.h
+++ b/src/gateway.h
@@ -493,6 +493,13 @@
 /// Memory used by the weights and adapters on a server, in MB, including adapters being loaded.
 double memoryUsed(const EngineLimits &limits, const ServerStatus &status);
 
+/// As above, for calls in series: `largestAdapter` is the result of largestAdapterMb(), which looks
+/// at all models.
+double memoryUsed(const EngineLimits &limits, const ServerStatus &status, double largestAdapter);
+
+/// Size of the largest adapter of all models, in MB.
+double largestAdapterMb(const EngineLimits &limits);
+
 /// Whether a further model fits into the memory of the server; false if its size isn't published.
 bool fitsModel(const EngineLimits &limits, const ServerStatus &status, const ModelName &model);
 
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -5,7 +5,7 @@
 // The plan is computed from the known state each time, without memory of earlier plans. An unload
 // that makes room names the model it is for, so that the next plan doesn't make room for that model
 // a second time.
-#include "gateway.h"
+#include "process/planindex.h"
 
 #include <algorithm>
 #include <cmath>
@@ -31,35 +31,41 @@
 constexpr double unloadCost = 350;            // ms, duration of an unload
 constexpr double infiniteCost = std::numeric_limits<double>::infinity(); // the step can't start now
 
+/// Model to evict from a server.
+struct Victim
+{
+    ModelName m_model; // empty: no model can be evicted
+    double m_cost = infiniteCost;
+};
+
 /// A plan in progress.
 struct Planner
 {
     const PlacementInput *m_input = nullptr;
-    std::set<InstanceId> m_orderedServers; // servers that already have an order in this plan
+    PlanIndex m_index;
+    std::vector<Victim> m_victims; // by server: the model whose eviction costs least
+    std::vector<bool> m_ordered;   // by server: it already has an order in this plan
     std::vector<EngineCommand> m_commands;
     bool m_storeLoadAllowed = false; // one more load from the weight store is within the rate limit
 };
 
-const EngineModel *modelOf(const Planner &planner, const ModelName &name)
+const PlanServer &serverAt(const Planner &planner, std::size_t at)
 {
-    const auto found = planner.m_input->m_limits->m_models.find(name);
-    return found == planner.m_input->m_limits->m_models.end() ? nullptr : &found->second;
+    return planner.m_input->m_servers[at];
 }
 
-const ModelDemand *demandFor(const Planner &planner, const ModelName &model)
+const EngineModel *modelOf(const Planner &planner, const ModelName &name)
 {
-    for (const ModelDemand &demand : planner.m_input->m_demands) {
-        if (demand.m_model == model && demand.m_adapter.m_text.empty())
-            return &demand;
-    }
-    return nullptr;
+    const ModelIndex *model = findModel(planner.m_index, name);
+    return model ? model->m_published : nullptr;
 }
 
 /// Whether the server can get an order in this plan.
-bool isFree(const Planner &planner, const PlanServer &server)
+bool isFree(const Planner &planner, std::size_t at)
 {
+    const PlanServer &server = serverAt(planner, at);
     return server.m_usable && server.m_sequenceKnown && !server.m_serverStatus.m_busy
-        && !planner.m_orderedServers.contains(server.m_id);
+        && !planner.m_ordered[at];
 }
 
 int runningOf(const PlanServer &server, const ModelName &model)
@@ -71,12 +77,8 @@
 /// Number of servers that have the model loaded, are loading it, or are making room for it.
 int replicasOf(const Planner &planner, const ModelName &model)
 {
-    int replicas = 0;
-    for (const PlanServer &server : planner.m_input->m_servers) {
-        if (holdsModel(server.m_serverStatus, model, {}) || server.m_pendingModel == model)
-            ++replicas;
-    }
-    return replicas;
+    const ModelIndex *found = findModel(planner.m_index, model);
+    return found ? found->m_replicas : 0;
 }
 
 /// Number of adapters that are loaded or being loaded on a server.
@@ -88,47 +90,41 @@
     return static_cast<int>(count) + status.m_loadingAdapterCount;
 }
 
-void addOrder(Planner &planner, EngineCommand order, const PlanServer &server)
+void addOrder(Planner &planner, EngineCommand order, std::size_t at)
 {
+    const PlanServer &server = serverAt(planner, at);
     order.m_server = server.m_id;
     order.m_sequence = server.m_serverStatus.m_sequence;
-    planner.m_orderedServers.insert(server.m_id);
+    planner.m_ordered[at] = true;
     planner.m_commands.push_back(std::move(order));
 }
 
-/// Cost of a load of the model on that server, in ms; infiniteCost if the load can't start now.
-double loadCost(const Planner &planner, const PlanServer &server, const EngineModel &model)
-{
-    if (!planner.m_storeLoadAllowed && !hasLocalCopy(server.m_serverStatus, model.m_name))
-        return infiniteCost;
-    return static_cast<double>(loadTime(model, server.m_serverStatus).m_count);
-}
-
 /// Orders a load. A load from the weight store uses up the one that the rate limit allows.
-void loadModel(Planner &planner, const PlanServer &server, const ModelName &model,
-               const char *reason)
+void loadModel(Planner &planner, std::size_t at, const ModelName &model, const char *reason)
 {
     EngineCommand order;
     order.m_model = model;
-    order.m_loadsFromStore = !hasLocalCopy(server.m_serverStatus, model);
+    order.m_loadsFromStore = !hasLocalCopy(serverAt(planner, at).m_serverStatus, model);
     order.m_reason = reason;
     if (order.m_loadsFromStore)
         planner.m_storeLoadAllowed = false;
-    addOrder(planner, order, server);
+    addOrder(planner, order, at);
 }
 
-bool fits(const Planner &planner, const PlanServer &server, const EngineModel &model)
+bool fits(const Planner &planner, std::size_t at, const EngineModel &model)
 {
-    return fitsModel(*planner.m_input->m_limits, server.m_serverStatus, model.m_name);
+    return planner.m_index.m_memoryUsed[at] + model.m_weightsMb
+        <= planner.m_input->m_limits->m_weightsMb;
 }
 
 /// Cost, in ms of waiting, of evicting a model from a server.
-double evictionCost(const Planner &planner, const PlanServer &server, const ModelName &model)
+double evictionCost(const Planner &planner, const PlanServer &server, const ModelName &name)
 {
-    const ModelDemand *demand = demandFor(planner, model);
-    const int replicas = std::max(replicasOf(planner, model), 1);
+    const ModelIndex *model = findModel(planner.m_index, name);
+    const ModelDemand *demand = model ? model->m_demand : nullptr;
+    const int replicas = std::max(replicasOf(planner, name), 1);
     double cost = unloadCost;
-    if (runningOf(server, model) > 0)
+    if (runningOf(server, name) > 0)
         cost += runningModelCost;
     if (replicas == 1)
         cost += lastReplicaCost;
@@ -139,20 +135,13 @@
     return cost;
 }
 
-/// Model to evict from a server.
-struct Victim
-{
-    ModelName m_model; // empty: no model can be evicted
-    double m_cost = infiniteCost;
-};
-
 /// Returns the model whose eviction costs least. Recently loaded models are exempt, since the
 /// requests that wait for them may not have arrived at the server yet.
-Victim cheapestVictim(const Planner &planner, const PlanServer &server, const ModelName &incoming)
+Victim cheapestVictim(const Planner &planner, const PlanServer &server)
 {
     Victim victim;
     for (const LoadedModel &loaded : server.m_serverStatus.m_models) {
-        if (loaded.m_name == incoming || server.m_recentlyLoaded.contains(loaded.m_name))
+        if (server.m_recentlyLoaded.contains(loaded.m_name))
             continue;
         const double cost = evictionCost(planner, server, loaded.m_name);
         if (cost < victim.m_cost)
@@ -164,28 +153,42 @@
 /// A possible placement of a further replica of a model.
 struct ReplicaOption
 {
-    const PlanServer *m_server = nullptr;
-    ModelName m_victim; // model to evict first; empty: the memory is sufficient
+    std::optional<std::size_t> m_server; // empty: no server can load the model
+    ModelName m_victim;                  // model to evict first; empty: the memory is sufficient
     double m_cost = infiniteCost;
 };
 
+/// Replaces the best option if a load on that server costs less. `loadMs` is the time of the load.
+void considerServer(const Planner &planner, const EngineModel &model, std::size_t at, Millis loadMs,
+                    ReplicaOption &best)
+{
+    const PlanServer &server = serverAt(planner, at);
+    double cost = static_cast<double>(loadMs.m_count);
+    if (cost >= best.m_cost || !isFree(planner, at) || !server.m_pendingModel.m_text.empty())
+        return;
+    const bool needsVictim = !fits(planner, at, model);
+    if (needsVictim)
+        cost += planner.m_victims[at].m_cost;
+    if (cost >= best.m_cost || holdsModel(server.m_serverStatus, model.m_name, {}))
+        return;
+    best = {at, needsVictim ? planner.m_victims[at].m_model : ModelName(), cost};
+}
+
 ReplicaOption cheapestOption(const Planner &planner, const EngineModel &model)
 {
     ReplicaOption best;
-    for (const PlanServer &server : planner.m_input->m_servers) {
-        if (!isFree(planner, server) || !server.m_pendingModel.m_text.empty())
-            continue;
-        if (holdsModel(server.m_serverStatus, model.m_name, {}))
-            continue;
-        double cost = loadCost(planner, server, model);
-        ModelName victimModel;
-        if (!fits(planner, server, model)) {
-            const Victim victim = cheapestVictim(planner, server, model.m_name);
-            cost += victim.m_cost;
-            victimModel = victim.m_model;
-        }
-        if (cost < best.m_cost)
-            best = {&server, victimModel, cost};
+    const ModelIndex *index = findModel(planner.m_index, model.m_name);
+    for (const std::size_t at : index->m_copiesOn)
+        considerServer(planner, model, at, loadTime(model, serverAt(planner, at).m_serverStatus),
+                       best);
+    if (!planner.m_storeLoadAllowed)
+        return best;
+    auto copy = index->m_copiesOn.begin(); // skips the servers considered above
+    for (std::size_t at = 0; at < planner.m_input->m_servers.size(); ++at) {
+        if (copy != index->m_copiesOn.end() && *copy == at)
+            ++copy;
+        else
+            considerServer(planner, model, at, model.m_storeLoadTime, best);
     }
     return best;
 }
@@ -209,26 +212,20 @@
     addOrder(planner, order, *option.m_server);
 }
 
-/// Whether a server is already loading the model or making room for it.
-bool isLoadPending(const Planner &planner, const ModelName &model)
-{
-    return std::any_of(planner.m_input->m_servers.begin(), planner.m_input->m_servers.end(),
-                       [&](const PlanServer &server) { return server.m_pendingModel == model; });
-}
-
 /// Continues swaps: where an unload has made room for a model, orders the load of that model.
 void finishSwaps(Planner &planner)
 {
-    for (const PlanServer &server : planner.m_input->m_servers) {
-        if (server.m_pendingModel.m_text.empty() || !isFree(planner, server))
+    for (std::size_t at = 0; at < planner.m_input->m_servers.size(); ++at) {
+        const PlanServer &server = serverAt(planner, at);
+        if (server.m_pendingModel.m_text.empty() || !isFree(planner, at))
             continue;
         const EngineModel *model = modelOf(planner, server.m_pendingModel);
         if (!model || holdsModel(server.m_serverStatus, model->m_name, {}))
             continue;
         const bool mayLoad
             = planner.m_storeLoadAllowed || hasLocalCopy(server.m_serverStatus, model->m_name);
-        if (fits(planner, server, *model) && mayLoad)
-            loadModel(planner, server, model->m_name, "room_made");
+        if (fits(planner, at, *model) && mayLoad)
+            loadModel(planner, at, model->m_name, "room_made");
     }
 }
 
@@ -245,22 +242,17 @@
 AdapterName unusedAdapter(const Planner &planner, const LoadedModel &loaded)
 {
     for (const AdapterName &adapter : loaded.m_adapters) {
-        const auto &demands = planner.m_input->m_demands;
-        const bool inUse = std::any_of(demands.begin(), demands.end(), [&](const auto &demand) {
-            return demand.m_model == loaded.m_name && demand.m_adapter == adapter
-                && (demand.m_waiting > 0 || demand.m_running > 0);
-        });
-        if (!inUse)
+        if (!planner.m_index.m_usedAdapters.contains(adapterKey(loaded.m_name, adapter)))
             return adapter;
     }
     return {};
 }
 
-/// Orders the unload of one unused adapter, to make room for another. Returns false if every
-/// adapter on the server is in use.
-bool unloadUnusedAdapter(Planner &planner, const PlanServer &server)
+/// Orders the unload of one unused adapter, to make room for another. Does nothing if every adapter
+/// on the server is in use.
+void unloadUnusedAdapter(Planner &planner, std::size_t at)
 {
-    for (const LoadedModel &loaded : server.m_serverStatus.m_models) {
+    for (const LoadedModel &loaded : serverAt(planner, at).m_serverStatus.m_models) {
         const AdapterName adapter = unusedAdapter(planner, loaded);
         if (adapter.m_text.empty())
             continue;
@@ -269,37 +261,37 @@
         order.m_model = loaded.m_name;
         order.m_adapter = adapter;
         order.m_reason = "room_for_adapter";
-        addOrder(planner, order, server);
-        return true;
+        addOrder(planner, order, at);
+        return;
     }
-    return false;
 }
 
 /// Orders the load of an adapter on a server that has its model, or an unload that makes room for
 /// it.
-void loadAdapter(Planner &planner, const ModelDemand &demand)
+void loadAdapter(Planner &planner, const ModelDemand &demand, const ModelIndex &index)
 {
     constexpr int maxLoadingAdapters = 4; // adapters that one server loads at the same time
     const EngineLimits &limits = *planner.m_input->m_limits;
-    const EngineModel *model = modelOf(planner, demand.m_model);
-    const PlanServer *best = nullptr;
-    for (const PlanServer &server : planner.m_input->m_servers) {
-        if (!holdsModel(server.m_serverStatus, demand.m_model, {}))
-            continue;
+    std::optional<std::size_t> best;
+    for (const std::size_t at : index.m_loadedOn) {
+        const PlanServer &server = serverAt(planner, at);
         const std::string key
-            = server.m_id.m_text + " " + demand.m_model.m_text + "/" + demand.m_adapter.m_text;
+            = server.m_id.m_text + " " + adapterKey(demand.m_model, demand.m_adapter);
         if (planner.m_input->m_loadingAdapterKeys.contains(key))
             return; // already being loaded
-        if (!isFree(planner, server)
+        if (!isFree(planner, at)
             || server.m_serverStatus.m_loadingAdapterCount >= maxLoadingAdapters)
             continue;
-        if (!best || adaptersOn(server.m_serverStatus) < adaptersOn(best->m_serverStatus))
-            best = &server;
+        if (!best
+            || adaptersOn(server.m_serverStatus)
+                < adaptersOn(serverAt(planner, *best).m_serverStatus))
+            best = at;
     }
-    if (!best || !model)
+    if (!best || !index.m_published)
         return;
-    const bool room = adaptersOn(best->m_serverStatus) < limits.m_adapterSlots
-        && memoryUsed(limits, best->m_serverStatus) + model->m_adapterMb <= limits.m_weightsMb;
+    const bool room = adaptersOn(serverAt(planner, *best).m_serverStatus) < limits.m_adapterSlots
+        && planner.m_index.m_memoryUsed[*best] + index.m_published->m_adapterMb
+            <= limits.m_weightsMb;
     if (!room) {
         unloadUnusedAdapter(planner, *best);
         return;
@@ -311,14 +303,14 @@
     addOrder(planner, order, *best);
 }
 
-/// Whether a usable server has the model and, if `adapter` isn't empty, that adapter loaded.
-bool isLoadedAnywhere(const Planner &planner, const ModelName &model, const AdapterName &adapter)
+/// Whether a usable server has that adapter of the model loaded.
+bool isAdapterLoaded(const Planner &planner, const ModelDemand &demand, const ModelIndex &index)
 {
-    return std::any_of(planner.m_input->m_servers.begin(), planner.m_input->m_servers.end(),
-                       [&](const PlanServer &server) {
-                           return server.m_usable
-                               && holdsModel(server.m_serverStatus, model, adapter);
-                       });
+    return std::any_of(index.m_loadedOn.begin(), index.m_loadedOn.end(), [&](std::size_t at) {
+        const PlanServer &server = serverAt(planner, at);
+        return server.m_usable
+            && holdsModel(server.m_serverStatus, demand.m_model, demand.m_adapter);
+    });
 }
 
 /// Orders demands by urgency. Demands that can still meet their target latency come before those
@@ -370,12 +362,23 @@
     return status.m_onDisk.contains(model.m_name) ? model.m_diskLoadTime : model.m_storeLoadTime;
 }
 
+double largestAdapterMb(const EngineLimits &limits)
+{
+    double largest = 0;
+    for (const auto &[name, model] : limits.m_models)
+        largest = std::max(largest, model.m_adapterMb);
+    return largest;
+}
+
 double memoryUsed(const EngineLimits &limits, const ServerStatus &status)
+{
+    const double largestAdapter = status.m_loadingAdapterCount > 0 ? largestAdapterMb(limits) : 0;
+    return memoryUsed(limits, status, largestAdapter);
+}
+
+double memoryUsed(const EngineLimits &limits, const ServerStatus &status, double largestAdapter)
 {
     double used = 0;
-    double largestAdapter = 0;
-    for (const auto &[name, model] : limits.m_models)
-        largestAdapter = std::max(largestAdapter, model.m_adapterMb);
     for (const LoadedModel &loaded : status.m_models) {
         const auto model = limits.m_models.find(loaded.m_name);
         if (model == limits.m_models.end())
@@ -393,11 +396,40 @@
         && memoryUsed(limits, status) + found->second.m_weightsMb <= limits.m_weightsMb;
 }
 
-std::vector<EngineCommand> planPlacement(const PlacementInput &input)
+namespace {
+
+/// Orders what a waiting demand needs: its model, or its adapter where the model is loaded.
+void serveWaiting(Planner &planner, const ModelDemand &demand)
+{
+    const ModelIndex *index = findModel(planner.m_index, demand.m_model);
+    if (!index->m_published)
+        return;
+    const bool adapterOnly = !demand.m_adapter.m_text.empty() && index->m_usableReplica;
+    if (adapterOnly) {
+        if (!isAdapterLoaded(planner, demand, *index))
+            loadAdapter(planner, demand, *index);
+    } else if (!index->m_usableReplica && index->m_pending == 0) {
+        addReplica(planner, *index->m_published, "callers_wait", infiniteCost);
+    }
+}
+
+Planner makePlanner(const PlacementInput &input)
 {
     Planner planner;
     planner.m_input = &input;
+    planner.m_index = makePlanIndex(input);
+    planner.m_ordered.resize(input.m_servers.size(), false);
     planner.m_storeLoadAllowed = input.m_storeLoadAllowed;
+    for (const PlanServer &server : input.m_servers)
+        planner.m_victims.push_back(cheapestVictim(planner, server));
+    return planner;
+}
+
+} // namespace
+
+std::vector<EngineCommand> planPlacement(const PlacementInput &input)
+{
+    Planner planner = makePlanner(input);
     finishSwaps(planner);
     std::vector<const ModelDemand *> waiting;
     for (const ModelDemand &demand : input.m_demands) {
@@ -405,20 +437,8 @@
             waiting.push_back(&demand);
     }
     std::stable_sort(waiting.begin(), waiting.end(), moreUrgent);
-    for (const ModelDemand *demand : waiting) {
-        const EngineModel *model = modelOf(planner, demand->m_model);
-        if (!model)
-            continue;
-        const bool adapterOnly
-            = !demand->m_adapter.m_text.empty() && isLoadedAnywhere(planner, demand->m_model, {});
-        if (adapterOnly) {
-            if (!isLoadedAnywhere(planner, demand->m_model, demand->m_adapter))
-                loadAdapter(planner, *demand);
-        } else if (!isLoadedAnywhere(planner, demand->m_model, {})
-                   && !isLoadPending(planner, model->m_name)) {
-            addReplica(planner, *model, "callers_wait", infiniteCost);
-        }
-    }
+    for (const ModelDemand *demand : waiting)
+        serveWaiting(planner, *demand);
     for (const ModelDemand &demand : input.m_demands) {
         const EngineModel *model = modelOf(planner, demand.m_model);
         if (!model || !demand.m_adapter.m_text.empty())
