Planning uses at most a fifth of the holder's event loop

Cause: the next plan began 12 ms after the last one, however long that had taken, and the trigger comes with every report of the other hosts. So planning had no upper limit on its share of the thread. Fix: the pause before a plan is four times the time of the last one, at least 12 ms. The running requests of all hosts are also added up once per plan, not once per server. Ruled out: a second thread; the hosts have one core, and the state would need locks.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -483,6 +483,11 @@
 /// Decides on the next orders, at most one for each server.
 std::vector<EngineCommand> planPlacement(const PlacementInput &input);
 
+/// Time from a change to the plan that takes it into account, so that changes are batched. It is
+/// longer after a plan that took long: planning may use only a part of the event loop, which also
+/// handles requests and whatever this host learns of servers and the configuration.
+Millis pauseBeforePlan(Millis lastPlanTook);
+
 /// Whether the server has the weights of the model in its memory or on its disk.
 bool hasLocalCopy(const ServerStatus &status, const ModelName &model);
 
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-constexpr Millis orderTimeout = {900};  // ms for each step of sending an order
-constexpr Millis reportTimeout = {700}; // ms to fetch a report
-constexpr Millis planPause = {12}; // ms from a change to the next plan, so that changes are batched
+constexpr Millis orderTimeout = {900};       // ms for each step of sending an order
+constexpr Millis reportTimeout = {700};      // ms to fetch a report
 constexpr Millis planPeriod = {400};         // ms between plans if nothing has changed
 constexpr Millis reportPollInterval = {120}; // ms between reports of a busy server
 constexpr Millis reportLag = {250};          // ms, a report may describe a state this old
@@ -463,18 +462,21 @@
     return all;
 }
 
-/// Returns the running requests at a server by model, summed over all hosts.
-std::map<ModelName, int> runningAt(const Gateway &gateway, const KnownServer &known)
+/// Running requests by server and model.
+using RunningRequests = std::map<InstanceId, std::map<ModelName, int>>;
+
+/// Returns the running requests of all hosts.
+RunningRequests totalRunning(const Gateway &gateway)
 {
-    std::map<ModelName, int> running = known.m_running;
+    RunningRequests running;
+    for (const auto &[id, known] : gateway.m_serverTable.m_servers)
+        running[id] = known.m_running;
     const Millis time = now(gateway);
     for (const auto &[host, peer] : gateway.m_peers) {
         if (time - peer.m_demandReceivedAt >= maxDemandAge)
             continue;
-        for (const auto &[use, count] : peer.m_uses) {
-            if (use.first == known.m_server.m_id)
-                running[use.second] += count;
-        }
+        for (const auto &[use, count] : peer.m_uses)
+            running[use.first][use.second] += count;
     }
     return running;
 }
@@ -530,7 +532,8 @@
 
 /// Collects the state that the placement of one service is decided on.
 PlacementInput makePlacementInput(Gateway &gateway, const RoutedService &service,
-                                  const std::map<ModelDemandKey, ModelDemand> &demands)
+                                  const std::map<ModelDemandKey, ModelDemand> &demands,
+                                  const RunningRequests &running)
 {
     PlacementInput input;
     input.m_limits = &*service.m_engine;
@@ -558,7 +561,7 @@
             if (time - loadedAt < recentLoadPeriod)
                 plan.m_recentlyLoaded.insert(model);
         }
-        plan.m_running = runningAt(gateway, known);
+        plan.m_running = running.at(id);
         for (const std::string &adapterKey : server.m_loadingAdapters)
             input.m_loadingAdapterKeys.insert(id.m_text + " " + adapterKey);
         input.m_servers.push_back(std::move(plan));
@@ -574,12 +577,13 @@
 void planOnce(Gateway &gateway)
 {
     const auto demands = totalDemands(gateway);
+    const RunningRequests running = totalRunning(gateway);
     const auto routes = gateway.m_routes;
     for (const auto &[name, service] : routes->m_services) {
         if (!service.m_engine)
             continue;
         updateTrackedServers(gateway, name);
-        const PlacementInput input = makePlacementInput(gateway, service, demands);
+        const PlacementInput input = makePlacementInput(gateway, service, demands, running);
         for (const EngineCommand &command : planPlacement(input)) {
             const auto known = gateway.m_serverTable.m_servers.find(command.m_server);
             TrackedServer *server = findTracked(gateway, command.m_server);
@@ -601,14 +605,17 @@
 
 asio::awaitable<void> runPlacement(Gateway &gateway)
 {
+    Millis planTook;
     while (true) {
         co_await sleepUntilWoken(*gateway.m_planTrigger, planPeriod);
-        co_await pauseFor(gateway, planPause);
+        co_await pauseFor(gateway, pauseBeforePlan(planTook));
+        planTook = {0};
         if (!holdsLease(gateway) || !gateway.m_routes)
             continue;
         const Millis began = now(gateway);
         planOnce(gateway);
-        recordPlanTime(gateway, now(gateway) - began);
+        planTook = now(gateway) - began;
+        recordPlanTime(gateway, planTook);
     }
 }
 
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -350,6 +350,13 @@
     sum.m_running += demand.m_running;
 }
 
+Millis pauseBeforePlan(Millis lastPlanTook)
+{
+    constexpr Millis minPause = {12};
+    constexpr std::int64_t pausePerPlanTime = 4; // planning uses at most a fifth of the event loop
+    return std::max(minPause, lastPlanTook * pausePerPlanTime);
+}
+
 bool hasLocalCopy(const ServerStatus &status, const ModelName &model)
 {
     return status.m_inMemory.contains(model) || status.m_onDisk.contains(model);
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -138,6 +138,7 @@
     CPPUNIT_TEST(noOrderWhileTheSequenceIsUnknown);
     CPPUNIT_TEST(rareModelsAreSwappedInWithinTheWaitLimit);
     CPPUNIT_TEST(planAtDesignSizeTakesAFractionOfTheProcessor);
+    CPPUNIT_TEST(planningLeavesMostOfTheEventLoopToOtherWork);
     CPPUNIT_TEST_SUITE_END();
 
     static PlacementInput input(const EngineLimits &limits, std::vector<PlanServer> servers,
@@ -431,6 +432,18 @@
                                least <= planPeriod * controlShare);
     }
 
+    /// Guards against plans that follow each other without pause when each takes long, on a small
+    /// or busy core: watches, heartbeats and requests would be handled seconds late.
+    void planningLeavesMostOfTheEventLoopToOtherWork()
+    {
+        for (const std::int64_t took : {1, 5, 50, 400, 2'000}) {
+            const Millis pause = pauseBeforePlan({took});
+            CPPUNIT_ASSERT(took * 4 <= pause.m_count);
+        }
+        // Without load, a change is planned for at once.
+        CPPUNIT_ASSERT(pauseBeforePlan({0}) <= Millis{20});
+    }
+
 private:
     static void beginOrder(std::vector<SimServer> &servers, const EngineCommand &command,
                            const EngineLimits &limits, Millis time)
