hosts.cpp parted by job: register, heartbeats, demand reports, status updates

Moves only: functions and constants unchanged; the two parts of handlePeerHeartbeat() that read demand and status updates became functions beside their senders. heartbeat.h has what the four files share.

--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -269,21 +269,30 @@
 /// out of date, reads the missing changes, unless they arrive by themselves within a short time.
 void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision);
 
-// --- hosts.cpp: other hosts, and address answers ---
+// --- hostregister.cpp: the register of hosts in the store ---
 
 /// Writes this host's entry to the register of hosts, and retries until the store accepts it.
 asio::awaitable<void> registerHost(Gateway &gateway);
 asio::awaitable<void> unregisterHost(Gateway &gateway);
 void applyHostEntry(Gateway &gateway, const StoredObject &object);
+
+/// Returns whether the store still has this host's entry in the register. If it doesn't, the entry
+/// is written again.
+asio::awaitable<bool> verifyRegistration(Gateway &gateway);
+
+/// Removes hosts from the register that have sent no heartbeat for a long time, since a host that
+/// is gone for good would never grant the holder an extension. A host that is still alive detects
+/// the removal, registers again, and restarts its wait before it may take the lease.
+asio::awaitable<void> removeSilentHosts(Gateway &gateway);
+
+// --- hosts.cpp: other hosts, and address answers ---
+
 asio::awaitable<void> receiveHeartbeats(Gateway &gateway);
 
 /// Sends periodic heartbeats, each to a few hosts in rotation. At the same interval it drops
 /// servers whose grace period has ended, and demand entries that are idle.
 asio::awaitable<void> sendHeartbeats(Gateway &gateway);
 
-/// Sends the demand of this host's callers and their running requests to the lease holder.
-asio::awaitable<void> reportDemandToHolder(Gateway &gateway);
-
 /// Sends a heartbeat to all other hosts at once, besides the periodic ones. `resynchronized`: this
 /// host has just read configuration and servers anew.
 void broadcastHeartbeat(Gateway &gateway, bool resynchronized = false);
@@ -292,9 +301,6 @@
 /// comes first, the others follow by name.
 int hostRank(const Gateway &gateway);
 
-/// Applies a new status of a model server here and sends it to all other hosts.
-void broadcastStatusUpdate(Gateway &gateway, const InstanceId &server, const ServerStatus &status);
-
 /// Returns the addresses of hosts that accept requests, for address answers.
 std::vector<Endpoint> callerAddresses(const Gateway &gateway);
 int hostCount(const Gateway &gateway);
@@ -306,14 +312,15 @@
 /// Notifies all other hosts that the lease was released, which left its record at `revision`.
 void broadcastRelease(Gateway &gateway, std::uint64_t revision);
 
-/// Returns whether the store still has this host's entry in the register. If it doesn't, the entry
-/// is written again.
-asio::awaitable<bool> verifyRegistration(Gateway &gateway);
+// --- demandreports.cpp: demand of callers ---
 
-/// Removes hosts from the register that have sent no heartbeat for a long time, since a host that
-/// is gone for good would never grant the holder an extension. A host that is still alive detects
-/// the removal, registers again, and restarts its wait before it may take the lease.
-asio::awaitable<void> removeSilentHosts(Gateway &gateway);
+/// Sends the demand of this host's callers and their running requests to the lease holder.
+asio::awaitable<void> reportDemandToHolder(Gateway &gateway);
+
+// --- statusupdates.cpp: status of model servers ---
+
+/// Applies a new status of a model server here and sends it to all other hosts.
+void broadcastStatusUpdate(Gateway &gateway, const InstanceId &server, const ServerStatus &status);
 
 // --- leasekeeper.cpp: which host may send orders ---
 
--- /dev/null
+++ b/src/process/heartbeat.h
@@ -0,0 +1,23 @@
+// Heartbeats as messages: how they are made, sent and taken apart. The schema is
+// connection/beat.fbs.
+#pragma once
+
+#include "generated/beat_generated.h"
+#include "process/gatewaystate.h"
+
+namespace apricot {
+
+/// Makes a heartbeat with this host's current state and none of the further parts.
+wire::BeatT makeHeartbeat(const Gateway &gateway);
+std::string encodeHeartbeat(const wire::BeatT &heartbeat);
+
+void sendDatagram(Gateway &gateway, const Endpoint &endpoint, const std::string &bytes);
+void sendToAllPeers(Gateway &gateway, const wire::BeatT &heartbeat);
+
+/// Takes over the demand of a host's callers, if the heartbeat contains it.
+void applyDemandReport(Gateway &gateway, Peer &peer, const wire::BeatT &heartbeat);
+
+/// Applies the status updates of model servers in the heartbeat.
+void applyStatusUpdates(Gateway &gateway, const wire::BeatT &heartbeat);
+
+} // namespace apricot
