Status updates of one moment share a datagram

Cause: the lease holder sent each change of a model server to each host at once. The own table is updated at once, as before.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -184,6 +184,7 @@
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
     gateway->m_listTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_demandReportTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
+    gateway->m_statusTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_planTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_leaseTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     return gateway;
@@ -217,6 +218,7 @@
     begin(gateway, "receive_heartbeats", receiveHeartbeats(gateway));
     begin(gateway, "send_heartbeats", sendHeartbeats(gateway));
     begin(gateway, "report_demand", reportDemandToHolder(gateway));
+    begin(gateway, "status_updates", sendStatusUpdates(gateway));
     begin(gateway, "lease", maintainLease(gateway));
     begin(gateway, "placement", runPlacement(gateway));
     begin(gateway, "watch_loop", watchLoop(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -163,6 +163,8 @@
 
     std::uint64_t m_hostEntryRevision = 0; // of this host's entry in the register; 0: no entry
     std::unique_ptr<WakeableTimer> m_demandReportTrigger; // wakes reportDemandToHolder()
+    std::map<InstanceId, ServerStatus> m_unsentStatus;    // broadcast, but not sent yet
+    std::unique_ptr<WakeableTimer> m_statusTrigger;       // wakes sendStatusUpdates()
 
     Lease m_lease;
     LeaseTiming m_leaseTiming;
@@ -319,9 +321,13 @@
 
 // --- statusupdates.cpp: status of model servers ---
 
-/// Applies a new status of a model server here and sends it to all other hosts.
+/// Applies a new status of a model server here at once, and has it sent to all other hosts.
 void broadcastStatusUpdate(Gateway &gateway, const InstanceId &server, const ServerStatus &status);
 
+/// Sends the status updates that were broadcast since the last time. Of several for one server only
+/// the latest is sent.
+asio::awaitable<void> sendStatusUpdates(Gateway &gateway);
+
 // --- leasekeeper.cpp: which host may send orders ---
 
 /// Takes the lease when it is free, and renews it while this host holds it.
