A new demand is reported alone between complete demand reports

Cause: each request that was the first to wait for a model made its host send all demands and running requests again, after 4 ms. Fix: complete reports go out every 300 ms; between them only the demands that are new, which the holder adds to the complete report if that is not out of date. A lost one is made up for by the next complete one. A holder of an older build ignores the partial reports and uses the complete ones.

--- a/src/process/demandreports.cpp
+++ b/src/process/demandreports.cpp
@@ -1,11 +1,13 @@
 // Demand of callers, reported by each host to the lease holder, which plans orders from it.
+// Complete reports are sent at intervals. Between them a demand that is new is reported at once and
+// alone, so that the bytes sent grow with the demands and not with their square.
 #include "process/heartbeat.h"
 
 namespace apricot {
 
 namespace {
 
-constexpr Millis demandReportInterval = {300}; // longest time between two demand reports
+constexpr Millis demandReportInterval = {300}; // between two complete reports
 /// Wait before a demand report, so that one report covers a burst of requests.
 constexpr Millis demandReportDelay = {4};
 
@@ -23,24 +25,29 @@
     return demand;
 }
 
-void addDemandEntries(const Gateway &gateway, wire::BeatT &heartbeat)
+void addDemandEntry(const Gateway &gateway, const ModelDemandKey &key, const LocalDemand &demand,
+                    wire::BeatT &heartbeat)
 {
-    const Millis time = now(gateway);
+    const ModelDemand modelDemand = demandOf(key, demand, now(gateway));
+    auto entry = std::make_unique<wire::WantEntryT>();
+    entry->service = key.m_service.m_text;
+    entry->model = key.m_model.m_text;
+    entry->adapter = key.m_adapter.m_text;
+    entry->waiting = modelDemand.m_waiting;
+    entry->oldest_ms = modelDemand.m_longestWait.m_count;
+    entry->hopeful = modelDemand.m_feasible;
+    entry->slack_ms = modelDemand.m_slack.m_count;
+    entry->rate = static_cast<float>(modelDemand.m_rate);
+    entry->running = modelDemand.m_running;
+    heartbeat.wants.push_back(std::move(entry));
+}
+
+void addAllDemands(const Gateway &gateway, wire::BeatT &heartbeat)
+{
+    heartbeat.tells_use = true;
     for (const auto &[key, demand] : gateway.m_modelDemands) {
-        if (isIdle(demand, time))
-            continue;
-        const ModelDemand modelDemand = demandOf(key, demand, time);
-        auto entry = std::make_unique<wire::WantEntryT>();
-        entry->service = key.m_service.m_text;
-        entry->model = key.m_model.m_text;
-        entry->adapter = key.m_adapter.m_text;
-        entry->waiting = modelDemand.m_waiting;
-        entry->oldest_ms = modelDemand.m_longestWait.m_count;
-        entry->hopeful = modelDemand.m_feasible;
-        entry->slack_ms = modelDemand.m_slack.m_count;
-        entry->rate = static_cast<float>(modelDemand.m_rate);
-        entry->running = modelDemand.m_running;
-        heartbeat.wants.push_back(std::move(entry));
+        if (!isIdle(demand, now(gateway)))
+            addDemandEntry(gateway, key, demand, heartbeat);
     }
     for (const auto &[id, known] : gateway.m_serverTable.m_servers) {
         for (const auto &[model, running] : known.m_running) {
@@ -55,15 +62,30 @@
     }
 }
 
+/// Adds the demands that arose since the last report, and forgets that they are new.
+void addNewDemands(Gateway &gateway, wire::BeatT &heartbeat)
+{
+    for (const ModelDemandKey &key : gateway.m_newDemands) {
+        const auto demand = gateway.m_modelDemands.find(key);
+        if (demand != gateway.m_modelDemands.end())
+            addDemandEntry(gateway, key, demand->second, heartbeat);
+    }
+    gateway.m_newDemands.clear();
+}
+
 } // namespace
 
 void applyDemandReport(Gateway &gateway, Peer &peer, const wire::BeatT &heartbeat)
 {
-    if (!heartbeat.tells_use)
+    if (!heartbeat.tells_use && heartbeat.wants.empty())
         return;
-    peer.m_modelDemands.clear();
-    peer.m_uses.clear();
-    peer.m_demandReceivedAt = now(gateway);
+    const Millis time = now(gateway);
+    // A report of new demands only adds to a complete one, which must still be valid itself.
+    if (heartbeat.tells_use || time - peer.m_demandReceivedAt >= maxDemandAge) {
+        peer.m_modelDemands.clear();
+        peer.m_uses.clear();
+    }
+    peer.m_demandReceivedAt = time;
     for (const auto &entry : heartbeat.wants) {
         const ModelDemandKey key = {{entry->service}, {entry->model}, {entry->adapter}};
         peer.m_modelDemands[key] = demandOf(*entry);
@@ -73,26 +95,40 @@
     wake(*gateway.m_planTrigger);
 }
 
+void reportNewDemand(Gateway &gateway, const ModelDemandKey &key)
+{
+    gateway.m_newDemands.insert(key);
+    wake(*gateway.m_demandReportTrigger);
+}
+
 asio::awaitable<void> reportDemandToHolder(Gateway &gateway)
 {
-    bool reportedDemand = false; // the last report wasn't empty
+    bool reportedDemand = false; // the last complete report wasn't empty
+    Millis completeReportAt = now(gateway);
     while (true) {
-        co_await sleepUntilWoken(*gateway.m_demandReportTrigger, demandReportInterval);
+        co_await sleepUntilWoken(*gateway.m_demandReportTrigger, completeReportAt - now(gateway));
         co_await pauseFor(gateway, demandReportDelay);
-        if (holdsLease(gateway)) {
+        const bool complete = now(gateway) >= completeReportAt;
+        if (complete)
+            completeReportAt = now(gateway) + demandReportInterval;
+        const auto holder = gateway.m_peers.find(gateway.m_holder);
+        if (holdsLease(gateway) || holder == gateway.m_peers.end()) {
+            gateway.m_newDemands.clear();
             wake(*gateway.m_planTrigger);
             continue;
         }
-        const auto holder = gateway.m_peers.find(gateway.m_holder);
-        if (holder == gateway.m_peers.end())
-            continue;
         wire::BeatT heartbeat = makeHeartbeat(gateway);
-        heartbeat.tells_use = true;
-        addDemandEntries(gateway, heartbeat);
+        addNewDemands(gateway, heartbeat);
+        if (complete) {
+            heartbeat.wants.clear(); // all of them follow
+            addAllDemands(gateway, heartbeat);
+        }
         const bool hasDemand = !heartbeat.wants.empty() || !heartbeat.uses.empty();
-        if (hasDemand || reportedDemand) // one empty report shows the holder that demand ended
+        // One empty report shows the holder that demand ended.
+        if (hasDemand || (complete && reportedDemand))
             sendDatagram(gateway, holder->second.m_entry.m_peer, encodeHeartbeat(heartbeat));
-        reportedDemand = hasDemand;
+        if (complete)
+            reportedDemand = hasDemand;
     }
 }
 
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -26,6 +26,8 @@
 asio::awaitable<bool> sleepUntilWoken(WakeableTimer &timer, Millis atMost);
 void wake(WakeableTimer &timer);
 
+constexpr Millis maxDemandAge = {1'500}; // ms; older demand of another host is ignored
+
 /// Identifies the model or adapter that demand is recorded for; an empty adapter means the model.
 struct ModelDemandKey
 {
@@ -162,6 +164,7 @@
     std::map<HostName, Millis> m_unregisteredHosts;
 
     std::uint64_t m_hostEntryRevision = 0; // of this host's entry in the register; 0: no entry
+    std::set<ModelDemandKey> m_newDemands; // first call waits since the last demand report
     std::unique_ptr<WakeableTimer> m_demandReportTrigger; // wakes reportDemandToHolder()
     std::map<InstanceId, ServerStatus> m_unsentStatus;    // broadcast, but not sent yet
     std::unique_ptr<WakeableTimer> m_statusTrigger;       // wakes sendStatusUpdates()
@@ -319,6 +322,9 @@
 /// Sends the demand of this host's callers and their running requests to the lease holder.
 asio::awaitable<void> reportDemandToHolder(Gateway &gateway);
 
+/// Has the demand for a model reported without delay, as the first call now waits for it.
+void reportNewDemand(Gateway &gateway, const ModelDemandKey &key);
+
 // --- statusupdates.cpp: status of model servers ---
 
 /// Applies a new status of a model server here at once, and has it sent to all other hosts.
--- a/src/process/holder.cpp
+++ b/src/process/holder.cpp
@@ -18,7 +18,6 @@
 constexpr Millis reportLag = {250};          // ms, a report may describe a state this old
 constexpr Millis orderTimeLimit = {20'000};  // ms; an order that takes longer is no longer tracked
 constexpr Millis adapterLoadTime = {14};     // ms to load an adapter
-constexpr Millis maxDemandAge = {1'500};     // ms; older demand of other hosts is ignored
 constexpr Millis resendInterval = {50};      // ms between repetitions of the same order
 constexpr Millis expectedUnloadTime = {60};  // ms to unload a model without running requests
 constexpr Millis unloadTimeLimit = {4'000};  // ms for an unload that waits for running requests
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -218,12 +218,13 @@
 {
     Gateway &gateway = *relay.m_gateway;
     WakeableTimer timer(gateway.m_io);
-    LocalDemand &demand = gateway.m_modelDemands[modelDemandKeyOf(relay)];
+    const ModelDemandKey key = modelDemandKeyOf(relay);
+    LocalDemand &demand = gateway.m_modelDemands[key];
     const auto call = demand.m_waitingCalls.insert(
         demand.m_waitingCalls.end(), {&timer, relay.m_arrived, relay.m_route->m_target});
     relay.m_wakeTimer = &timer;
     if (demand.m_waitingCalls.size() == 1)
-        wake(*gateway.m_demandReportTrigger);
+        reportNewDemand(gateway, key);
     const Millis began = now(gateway);
     co_await sleepUntilWoken(timer, atMost);
     relay.m_modelWaitTime = relay.m_modelWaitTime + (now(gateway) - began);
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -89,6 +89,8 @@
 {
     CPPUNIT_TEST_SUITE(GatewayHostsTest);
     CPPUNIT_TEST(statusUpdatesOfOneMomentShareADatagram);
+    CPPUNIT_TEST(newDemandIsReportedAloneBetweenCompleteReports);
+    CPPUNIT_TEST(reportOfNewDemandAddsToTheCompleteOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +121,71 @@
             CPPUNIT_ASSERT_EQUAL(std::string("m2"), update->models.at(0)->model);
         }
     }
+
+    /// Guards against reports that repeat all demands of a host for each new one: the lease holder
+    /// would receive several MB a second, and read them in place of watches and requests.
+    void newDemandIsReportedAloneBetweenCompleteReports()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        gateway.m_holder = {"h1"};
+        constexpr int models = 30;
+        const auto keyOf = [](int number) {
+            return ModelDemandKey{{"s"}, {"m" + std::to_string(number)}, {}};
+        };
+        for (int number = 0; number < models; ++number)
+            gateway.m_modelDemands[keyOf(number)].m_running = 1;
+        begin(gateway, "report_demand", reportDemandToHolder(gateway));
+        std::vector<wire::BeatT> reports;
+        const auto receivedReports = [&](std::size_t count) {
+            for (wire::BeatT &report : test.m_peer->received())
+                reports.push_back(std::move(report));
+            return reports.size() >= count;
+        };
+        CPPUNIT_ASSERT(test.runUntil([&] { return receivedReports(1); }));
+        CPPUNIT_ASSERT(reports[0].tells_use);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{models}, reports[0].wants.size());
+        reportNewDemand(gateway, keyOf(7));
+        CPPUNIT_ASSERT(test.runUntil([&] { return receivedReports(2); }));
+        CPPUNIT_ASSERT(!reports[1].tells_use);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports[1].wants.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("m7"), reports[1].wants[0]->model);
+        // A lost report of a new demand is made up for by the next complete one.
+        gateway.m_clock.m_now = gateway.m_clock.m_now + Millis{1'000};
+        reportNewDemand(gateway, keyOf(8));
+        CPPUNIT_ASSERT(test.runUntil([&] { return receivedReports(3); }));
+        CPPUNIT_ASSERT(reports[2].tells_use);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{models}, reports[2].wants.size());
+    }
+
+    /// Guards against a report of one new demand that erases the others, or that revives demands
+    /// whose complete reports have been missing for too long.
+    void reportOfNewDemandAddsToTheCompleteOne()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        Peer &peer = gateway.m_peers[{"h1"}];
+        const auto report = [](const std::string &model, bool complete) {
+            wire::BeatT heartbeat;
+            heartbeat.tells_use = complete;
+            heartbeat.wants.push_back(std::make_unique<wire::WantEntryT>());
+            heartbeat.wants[0]->service = "s";
+            heartbeat.wants[0]->model = model;
+            heartbeat.wants[0]->waiting = 1;
+            return heartbeat;
+        };
+        applyDemandReport(gateway, peer, report("m0", true));
+        applyDemandReport(gateway, peer, report("m1", false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peer.m_modelDemands.size());
+        applyDemandReport(gateway, peer, wire::BeatT()); // a heartbeat without demand
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peer.m_modelDemands.size());
+        gateway.m_clock.m_now = gateway.m_clock.m_now + maxDemandAge;
+        applyDemandReport(gateway, peer, report("m2", false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.m_modelDemands.size());
+        applyDemandReport(gateway, peer, report("m3", true));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.m_modelDemands.size());
+        CPPUNIT_ASSERT(peer.m_modelDemands.contains({{"s"}, {"m3"}, {}}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayHostsTest);
