A status update wakes only the requests for its models

Fix: an update wakes the requests for models that its server has loaded. Changes of the server list still wake all. Test: statusUpdateWakesOnlyRequestsForItsModels; with wakeWaiting() in its place (scratch variant) it fails.

--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -247,6 +247,9 @@
 /// Wakes all requests that wait for a model, so that they look for a server again.
 void wakeWaiting(Gateway &gateway);
 
+/// Wakes the requests that wait for a model that the server has loaded.
+void wakeWaitingFor(Gateway &gateway, const ServerStatus &status);
+
 // --- storeclient.cpp: the platform's store ---
 
 /// Sends a request to the store and returns its answer. `what` names the call in logs and metrics.
--- a/src/process/statusupdates.cpp
+++ b/src/process/statusupdates.cpp
@@ -61,18 +61,17 @@
 
 void applyStatusUpdates(Gateway &gateway, const wire::BeatT &heartbeat)
 {
-    bool changed = false;
-    for (const auto &update : heartbeat.notices)
-        changed |= applyStatusUpdate(gateway.m_serverTable, {update->server},
-                                     decodeStatusUpdate(*update), now(gateway));
-    if (changed)
-        wakeWaiting(gateway);
+    for (const auto &update : heartbeat.notices) {
+        const ServerStatus status = decodeStatusUpdate(*update);
+        if (applyStatusUpdate(gateway.m_serverTable, {update->server}, status, now(gateway)))
+            wakeWaitingFor(gateway, status);
+    }
 }
 
 void broadcastStatusUpdate(Gateway &gateway, const InstanceId &server, const ServerStatus &status)
 {
     applyStatusUpdate(gateway.m_serverTable, server, status, now(gateway));
-    wakeWaiting(gateway);
+    wakeWaitingFor(gateway, status);
     gateway.m_unsentStatus[server] = status;
     wake(*gateway.m_statusTrigger);
 }
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -667,6 +667,12 @@
     co_await relayToServers(relay);
 }
 
+void wakeAll(const std::list<WaitingCall> &calls)
+{
+    for (const WaitingCall &call : calls)
+        wake(*call.m_wakeTimer);
+}
+
 } // namespace
 
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange)
@@ -690,9 +696,15 @@
 
 void wakeWaiting(Gateway &gateway)
 {
-    for (auto &[key, demand] : gateway.m_modelDemands) {
-        for (const WaitingCall &call : demand.m_waitingCalls)
-            wake(*call.m_wakeTimer);
+    for (const auto &[key, demand] : gateway.m_modelDemands)
+        wakeAll(demand.m_waitingCalls);
+}
+
+void wakeWaitingFor(Gateway &gateway, const ServerStatus &status)
+{
+    for (const auto &[key, demand] : gateway.m_modelDemands) {
+        if (!demand.m_waitingCalls.empty() && holdsModel(status, key.m_model, key.m_adapter))
+            wakeAll(demand.m_waitingCalls);
     }
 }
 
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(statusUpdatesOfOneMomentShareADatagram);
     CPPUNIT_TEST(newDemandIsReportedAloneBetweenCompleteReports);
     CPPUNIT_TEST(reportOfNewDemandAddsToTheCompleteOne);
+    CPPUNIT_TEST(statusUpdateWakesOnlyRequestsForItsModels);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.m_modelDemands.size());
         CPPUNIT_ASSERT(peer.m_modelDemands.contains({{"s"}, {"m3"}, {}}));
     }
+
+    /// Guards against work that grows with requests times orders: each of the hundreds of status
+    /// updates a second made every waiting request look through all servers.
+    void statusUpdateWakesOnlyRequestsForItsModels()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        WakeableTimer first(gateway.m_io);
+        WakeableTimer second(gateway.m_io);
+        gateway.m_modelDemands[{{"s"}, {"m1"}, {}}].m_waitingCalls.push_back({&first, {}, {}});
+        gateway.m_modelDemands[{{"s"}, {"m2"}, {}}].m_waitingCalls.push_back({&second, {}, {}});
+        BackendServer server;
+        server.m_id = {"i-1"};
+        server.m_serverStatus = statusWith("m0", 0);
+        applyEntry(gateway.m_serverTable, server, now(gateway));
+        wire::BeatT heartbeat;
+        heartbeat.notices.push_back(std::make_unique<wire::NoticeEntryT>());
+        heartbeat.notices[0]->server = "i-1";
+        heartbeat.notices[0]->born = 1;
+        heartbeat.notices[0]->sequence = 1;
+        heartbeat.notices[0]->models.push_back(std::make_unique<wire::LoadedEntryT>());
+        heartbeat.notices[0]->models[0]->model = "m2";
+        applyStatusUpdates(gateway, heartbeat);
+        CPPUNIT_ASSERT(!first.m_woken);
+        CPPUNIT_ASSERT(second.m_woken);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayHostsTest);
