A release of the lease counts also after its host left the register

If the removal arrived first at the others, they ignored the release as a heartbeat of an unregistered host and waited for expiry and handover delay. Fix: the release is recorded before the sender is looked up. It states what the store holds at that revision, whoever says it; a takeover is conditional on that revision anyway. It now clears the remembered holder only if that is the sender. Test: releaseIsNoticedAfterItsHostLeftTheRegister, failing before the fix (the lease stays at the earlier revision) and passing with it.

--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -96,9 +96,20 @@
                   {"hosts", std::to_string(gateway.m_peers.size())}});
 }
 
+/// Handles the release of the lease, also by a host that has left the register meanwhile: a
+/// stopping holder removes its entry at the same time.
+void handleRelease(Gateway &gateway, const wire::BeatT &heartbeat)
+{
+    observeRelease(gateway.m_lease, heartbeat.run, heartbeat.released, now(gateway));
+    if (gateway.m_holder.m_text == heartbeat.host)
+        gateway.m_holder = {};
+}
+
 void handlePeerHeartbeat(Gateway &gateway, const wire::BeatT &heartbeat)
 {
     const HostName host = {heartbeat.host};
+    if (heartbeat.released > 0)
+        handleRelease(gateway, heartbeat);
     const auto found = gateway.m_peers.find(host);
     if (found == gateway.m_peers.end()) {
         // Only a ready host counts: one that is starting or stopping never takes the lease over.
@@ -116,10 +127,6 @@
     peer.m_fencingToken = heartbeat.fence;
     if (heartbeat.fence > 0)
         handleHolderHeartbeat(gateway, peer, heartbeat);
-    if (heartbeat.released > 0) {
-        observeRelease(gateway.m_lease, heartbeat.run, heartbeat.released, time);
-        gateway.m_holder = {};
-    }
     if (heartbeat.ask > 0)
         handleExtensionRequest(gateway, peer, heartbeat);
     if (heartbeat.promise > 0)
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(newDemandIsReportedAloneBetweenCompleteReports);
     CPPUNIT_TEST(reportOfNewDemandAddsToTheCompleteOne);
     CPPUNIT_TEST(statusUpdateWakesOnlyRequestsForItsModels);
+    CPPUNIT_TEST(releaseIsNoticedAfterItsHostLeftTheRegister);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -213,6 +214,30 @@
         CPPUNIT_ASSERT(!first.m_woken);
         CPPUNIT_ASSERT(second.m_woken);
     }
+
+    /// Guards against a successor that waits until the lease expires, although its holder released
+    /// it: the removal of a stopping holder's entry from the register may arrive before the
+    /// heartbeat that tells of the release.
+    void releaseIsNoticedAfterItsHostLeftTheRegister()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        constexpr std::uint64_t lastRenewal = 8;
+        constexpr std::uint64_t release = 9;
+        observeLease(gateway.m_lease, {{"h1@127.0.0.1"}, "run", 1}, lastRenewal, now(gateway));
+        gateway.m_holder = {"h1"};
+        gateway.m_peers.clear();
+        wire::BeatT heartbeat;
+        heartbeat.host = "h1";
+        heartbeat.run = "run";
+        heartbeat.released = release;
+        test.m_peer->m_socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)),
+                                      gateway.m_udp->local_endpoint());
+        begin(gateway, "receive_heartbeats", receiveHeartbeats(gateway));
+        CPPUNIT_ASSERT(test.runUntil([&] { return gateway.m_lease.m_revision == release; }));
+        CPPUNIT_ASSERT(gateway.m_lease.m_lastSeenRecord.m_holder.m_text.empty());
+        CPPUNIT_ASSERT(gateway.m_holder.m_text.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayHostsTest);
