--- a/src/gateway.h
+++ b/src/gateway.h
@@ -227,6 +227,9 @@
 /// compare it to detect that their server lists differ.
 std::uint64_t digestOf(const ServerTable &servers);
 
+/// Returns "model/adapter", which identifies an adapter, or with an empty adapter the model.
+std::string adapterKey(const ModelName &model, const AdapterName &adapter);
+
 /// Whether the status lists the model and, if `adapter` isn't empty, that adapter of it as loaded.
 bool holdsModel(const ServerStatus &status, const ModelName &model, const AdapterName &adapter);
 
--- a/src/process/planindex.cpp
+++ b/src/process/planindex.cpp
@@ -87,9 +87,4 @@
     return found == index.m_models.end() ? nullptr : &found->second;
 }
 
-std::string adapterKey(const ModelName &model, const AdapterName &adapter)
-{
-    return model.m_text + "/" + adapter.m_text;
-}
-
 } // namespace apricot
--- a/src/process/planindex.h
+++ b/src/process/planindex.h
@@ -39,7 +39,4 @@
 /// Returns the entry of a model; null if no server has it and nothing asks for it.
 const ModelIndex *findModel(const PlanIndex &index, const ModelName &model);
 
-/// Key of an adapter in PlanIndex::m_usedAdapters.
-std::string adapterKey(const ModelName &model, const AdapterName &adapter);
-
 } // namespace apricot
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -100,6 +100,11 @@
     return stableHash(text);
 }
 
+std::string adapterKey(const ModelName &model, const AdapterName &adapter)
+{
+    return model.m_text + "/" + adapter.m_text;
+}
+
 bool holdsModel(const ServerStatus &status, const ModelName &model, const AdapterName &adapter)
 {
     for (const LoadedModel &loaded : status.m_models) {
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -33,8 +33,7 @@
 /// Whether the server has just refused a request for this model and adapter.
 bool recentlyRefused(const KnownServer &known, const ChoiceInput &input, Millis time)
 {
-    const auto refused
-        = known.m_refusedUntil.find(input.m_model.m_text + "/" + input.m_adapter.m_text);
+    const auto refused = known.m_refusedUntil.find(adapterKey(input.m_model, input.m_adapter));
     return refused != known.m_refusedUntil.end() && time < refused->second;
 }
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -134,7 +134,7 @@
     logEvent("answered",
              {{"id", relay.m_metadata.m_id},
               {"route", relay.m_route ? relay.m_route->m_name : ""},
-              {"model", relay.m_metadata.m_model.m_text + "/" + relay.m_metadata.m_adapter.m_text},
+              {"model", adapterKey(relay.m_metadata.m_model, relay.m_metadata.m_adapter)},
               {"outcome", outcome},
               {"status", std::to_string(status)},
               {"why", failure.m_detail},
@@ -357,8 +357,7 @@
     if (!known)
         return;
     const Millis time = now(*relay.m_gateway);
-    const std::string key
-        = relay.m_metadata.m_model.m_text + "/" + relay.m_metadata.m_adapter.m_text;
+    const std::string key = adapterKey(relay.m_metadata.m_model, relay.m_metadata.m_adapter);
     if (!relay.m_metadata.m_model.m_text.empty())
         known->m_refusedUntil[key] = time + refusalRetryDelay;
     else if (metadata.m_misdirected)
