--- a/src/gateway.h
+++ b/src/gateway.h
@@ -322,6 +322,23 @@
 /// caller to send the request again.
 Millis maxModelWait(const Route &route, Millis allowed);
 
+/// Recent times that requests of one route took, from the sending to a server to the end of the
+/// answer.
+struct RunTimes
+{
+    Millis m_longest; // halves every runTimeHalfLife after m_updatedAt
+    Millis m_updatedAt;
+    int m_count = 0; // of times recorded
+};
+
+constexpr Millis runTimeHalfLife = {30'000};
+
+void recordRunTime(RunTimes &times, Millis took, Millis time);
+
+/// Estimates how long a request of the route takes at most once it is sent. `allowed` is the time
+/// left until its deadline, and the only clue while few times are known.
+Millis longestRunTime(const RunTimes &times, Millis allowed, Millis time);
+
 /// Records whether a request to the server succeeded. A success resets the count of failures.
 void recordServerResult(KnownServer &known, bool good, Millis time);
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -15,8 +15,6 @@
 constexpr double minDemandRate = 0.02;    // requests per second; less counts as no demand
 /// A planned stop is finished this long before its time limit.
 constexpr Millis stopSafetyMargin = {900};
-/// Kept at the end of a planned stop for answering requests that still wait for a model.
-constexpr Millis finalAnswerTime = {300};
 constexpr Millis stopPollInterval = {40};
 /// Callers may keep using an address for this many times the lifetime that they were given with it.
 constexpr std::int64_t addressLifetimesOnStop = 3;
@@ -231,11 +229,6 @@
     return gateway.m_stopStartedAt + gateway.m_settings.m_stopTimeLimit - stopSafetyMargin;
 }
 
-Millis modelWaitDeadline(const Gateway &gateway)
-{
-    return stopDeadline(gateway) - finalAnswerTime;
-}
-
 asio::awaitable<void> stopGateway(Gateway &gateway)
 {
     if (gateway.m_stopping)
@@ -248,12 +241,8 @@
     begin(gateway, "unregister", unregisterHost(gateway));
     const Millis noNewCallersAt
         = gateway.m_stopStartedAt + gateway.m_settings.m_addressLifetime * addressLifetimesOnStop;
-    bool waitingWoken = false; // requests waiting for a model were woken to be answered
+    wakeWaiting(gateway); // requests that wait for a model may have to end their wait earlier now
     while (now(gateway) < stopDeadline(gateway)) {
-        if (!waitingWoken && now(gateway) >= modelWaitDeadline(gateway)) {
-            waitingWoken = true;
-            wakeWaiting(gateway);
-        }
         const bool idle = gateway.m_inFlight == 0 && gateway.m_lease.m_fencingToken == 0;
         if (now(gateway) >= noNewCallersAt && idle)
             break;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -153,6 +153,7 @@
     bool m_catchingUp = false; // a coroutine reads changes that another host reported first
     Millis m_lastResyncAt;     // when any host last resynchronized with the store
     std::map<ServiceName, RetryBudget> m_retryBudgets;
+    std::map<std::string, RunTimes> m_runTimes;           // by name of the route
     std::map<ModelDemandKey, LocalDemand> m_modelDemands; // demand of this host's callers
 
     std::map<HostName, Peer> m_peers; // other hosts in the register
@@ -204,10 +205,6 @@
 /// and callers no longer use its address.
 Millis stopDeadline(const Gateway &gateway);
 
-/// Time until which requests may wait for a model on a stopping host, so that they are still
-/// answered.
-Millis modelWaitDeadline(const Gateway &gateway);
-
 /// Reads the settings file again. A file with faults changes nothing. Addresses, names and the
 /// lease handover delay take effect only at the next start.
 void reloadSettings(Gateway &gateway);
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -108,6 +108,10 @@
              {{"version", std::to_string(table->m_version)},
               {"revision", std::to_string(object.m_revision)},
               {"routes", std::to_string(table->m_routes.size())}});
+    std::erase_if(gateway.m_runTimes, [&](const auto &times) {
+        return std::none_of(table->m_routes.begin(), table->m_routes.end(),
+                            [&](const Route &route) { return route.m_name == times.first; });
+    });
     gateway.m_routes = std::move(table);
 }
 
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -3,6 +3,7 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricot {
 
@@ -64,6 +65,15 @@
     return cost;
 }
 
+Millis decayedLongest(const RunTimes &times, Millis time)
+{
+    const Millis age = std::max(time - times.m_updatedAt, Millis{0});
+    const double halfLives
+        = static_cast<double>(age.m_count) / static_cast<double>(runTimeHalfLife.m_count);
+    const double longest = static_cast<double>(times.m_longest.m_count) * std::exp2(-halfLives);
+    return {static_cast<std::int64_t>(longest)};
+}
+
 void dropBefore(std::deque<Millis> &times, Millis before)
 {
     while (!times.empty() && times.front() < before)
@@ -119,6 +129,22 @@
     return std::min(byTarget, Millis{allowed.m_count * sharePercent / 100});
 }
 
+void recordRunTime(RunTimes &times, Millis took, Millis time)
+{
+    times.m_longest = std::max(decayedLongest(times, time), took);
+    times.m_updatedAt = time;
+    times.m_count += 1;
+}
+
+Millis longestRunTime(const RunTimes &times, Millis allowed, Millis time)
+{
+    constexpr int enoughTimes = 20;
+    constexpr std::int64_t marginPercent = 25; // for requests that take longer than any before
+    const Millis known = {decayedLongest(times, time).m_count * (100 + marginPercent) / 100};
+    const Millis guess = {times.m_count < enoughTimes ? allowed.m_count / 2 : 0};
+    return std::min(allowed, std::max(known, guess));
+}
+
 void recordServerResult(KnownServer &known, bool good, Millis time)
 {
     if (good) {
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -23,6 +23,7 @@
 constexpr Millis defaultRetryAfter = {1'000};
 constexpr Millis expectedSwapTime = {1'500}; // ms to make room for a model and load it from disk
 constexpr Millis shortRetryAfter = {300};
+constexpr Millis retryElsewhereAfter = {100}; // another host can take the request at once
 /// Without a heartbeat of the lease holder for longer than this, requests don't wait for a load.
 constexpr Millis holderTimeout = {2'500};
 
@@ -238,14 +239,31 @@
     return engine && engine->m_models.contains(relay.m_metadata.m_model);
 }
 
+/// Latest time at which a stopping host may still send the request: its answer would be cut if it
+/// wasn't complete when the host stops.
+Millis lastSendBeforeStop(const Relay &relay)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const RunTimes &times = gateway.m_runTimes[relay.m_route->m_name];
+    return stopDeadline(gateway) - longestRunTime(times, remainingTime(relay), now(gateway));
+}
+
+/// Whether a stopping host has to refuse the request. One that may have been executed is carried on
+/// with, since its caller may not be able to repeat it.
+bool tooLateBeforeStop(const Relay &relay)
+{
+    const Gateway &gateway = *relay.m_gateway;
+    return gateway.m_stopping && relay.m_runs == 0 && now(gateway) > lastSendBeforeStop(relay);
+}
+
 /// Time until which the request may wait for its model. A stopping host ends the wait early enough
-/// to still answer the request.
+/// to still have the request executed.
 Millis modelWaitEnd(const Relay &relay)
 {
     const Gateway &gateway = *relay.m_gateway;
     const Millis allowed = relay.m_deadline - relay.m_arrived;
     const Millis limit = relay.m_arrived + maxModelWait(*relay.m_route, allowed);
-    return gateway.m_stopping ? std::min(limit, modelWaitDeadline(gateway)) : limit;
+    return gateway.m_stopping ? std::min(limit, lastSendBeforeStop(relay)) : limit;
 }
 
 /// Finds a server for the request; if none has the model, waits for it to be loaded.
@@ -253,6 +271,9 @@
 {
     Gateway &gateway = *relay.m_gateway;
     while (true) {
+        if (tooLateBeforeStop(relay))
+            co_return makeFailure(ErrorKind::Stopping, "the answer would not end before the stop",
+                                  retryElsewhereAfter);
         const Millis waitEnd = modelWaitEnd(relay);
         relay.m_chosenAt = now(gateway);
         relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
@@ -439,7 +460,10 @@
         && !co_await writeChunk(*relay.m_exchange, relay.m_eventScanner.m_partialEvent))
         co_return SendResult{};
     recordResult(relay, id, true);
-    countAnswer(relay.m_gateway->m_metrics, ErrorKind::None);
+    Gateway &gateway = *relay.m_gateway;
+    recordRunTime(gateway.m_runTimes[relay.m_route->m_name], now(gateway) - relay.m_chosenAt,
+                  now(gateway));
+    countAnswer(gateway.m_metrics, ErrorKind::None);
     logCall(relay, "streamed", makeFailure(ErrorKind::None, id.m_text, RunState::Ran),
             head.m_status);
     co_await endStream(*relay.m_exchange);
@@ -514,6 +538,8 @@
                                          shortRetryAfter)};
     }
     recordResult(relay, id, got.m_status < 500);
+    recordRunTime(gateway.m_runTimes[relay.m_route->m_name], now(gateway) - relay.m_chosenAt,
+                  now(gateway));
     if (relay.m_headSent) // the caller has already received the head of an event stream
         co_return SendResult{
             SendOutcome::Failed,
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(failedServersAreAvoidedForALimitedTime);
     CPPUNIT_TEST(answerTimeoutLeavesTimeOnlyForAPermittedRetry);
     CPPUNIT_TEST(modelWaitEndsBeforeTheCallerGivesUp);
+    CPPUNIT_TEST(longestRunTimeFollowsRecentAnswers);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(retryBudgetExpiresAfterItsWindow);
     CPPUNIT_TEST(onlyCompleteEventsPassForAnySplitOfTheBytes);
@@ -240,6 +241,24 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{5'600}, maxModelWait(route, {8'000}).m_count);
     }
 
+    /// Guards against a stopping host that takes requests which it can't finish, or refuses ones
+    /// that it could: the estimate must follow the longest recent answer of the route, not an old
+    /// one, and without answers be neither zero nor all the time that is left.
+    void longestRunTimeFollowsRecentAnswers()
+    {
+        constexpr Millis allowed = {20'000};
+        RunTimes times;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{10'000}, longestRunTime(times, allowed, start).m_count);
+        for (int answer = 0; answer < 30; ++answer)
+            recordRunTime(times, {answer == 7 ? 4'000 : 200}, start);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'000}, longestRunTime(times, allowed, start).m_count);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500},
+                             longestRunTime(times, allowed, start + runTimeHalfLife).m_count);
+        // Never more than the time that is left, and bounded if the time should go back.
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000}, longestRunTime(times, {1'000}, start).m_count);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'000}, longestRunTime(times, allowed, {0}).m_count);
+    }
+
     /// Guards against retries that multiply the load on the remaining servers when others fail.
     void retriesStayWithinTheBudget()
     {
