--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -359,6 +359,15 @@
         recordServerResult(*known, good, now(*relay.m_gateway));
 }
 
+/// Records a complete answer of a server and the time since the request was sent to it.
+void recordAnswer(Relay &relay, const InstanceId &id, bool good)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const Millis time = now(gateway);
+    recordResult(relay, id, good);
+    recordRunTime(gateway.m_runTimes[relay.m_route->m_name], time - relay.m_chosenAt, time);
+}
+
 void recordLoad(Relay &relay, const InstanceId &id, const ServerLoad &load)
 {
     KnownServer *known = knownServer(relay, id);
@@ -459,11 +468,8 @@
     if (!relay.m_eventScanner.m_partialEvent.empty()
         && !co_await writeChunk(*relay.m_exchange, relay.m_eventScanner.m_partialEvent))
         co_return SendResult{};
-    recordResult(relay, id, true);
-    Gateway &gateway = *relay.m_gateway;
-    recordRunTime(gateway.m_runTimes[relay.m_route->m_name], now(gateway) - relay.m_chosenAt,
-                  now(gateway));
-    countAnswer(gateway.m_metrics, ErrorKind::None);
+    recordAnswer(relay, id, true);
+    countAnswer(relay.m_gateway->m_metrics, ErrorKind::None);
     logCall(relay, "streamed", makeFailure(ErrorKind::None, id.m_text, RunState::Ran),
             head.m_status);
     co_await endStream(*relay.m_exchange);
@@ -537,9 +543,7 @@
                                              + std::to_string(got.m_status),
                                          shortRetryAfter)};
     }
-    recordResult(relay, id, got.m_status < 500);
-    recordRunTime(gateway.m_runTimes[relay.m_route->m_name], now(gateway) - relay.m_chosenAt,
-                  now(gateway));
+    recordAnswer(relay, id, got.m_status < 500);
     if (relay.m_headSent) // the caller has already received the head of an event stream
         co_return SendResult{
             SendOutcome::Failed,
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -93,9 +93,8 @@
     PlacementInput input;
     input.m_limits = &limits;
     for (int number = 0; number < designServers; ++number) {
-        std::vector<std::string> disk;
-        for (int copy = 0; copy < 20; ++copy)
-            disk.push_back(anyModel());
+        std::vector<std::string> disk(20);
+        std::generate(disk.begin(), disk.end(), anyModel);
         input.m_servers.push_back(
             makeServer("i-" + std::to_string(number), {anyModel(), anyModel()}, disk));
     }
