Last reading of the diff: work done twice, and comments that misled

A complete demand report no longer encodes the new demands first and drops them; a host that knows no holder no longer wakes its planner; the cost of an eviction looks its model up once, not three times; loop_late counts its first period from the start of the loop, not of the machine; comments of the index and of run times say what they hold.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -322,7 +322,7 @@
 /// caller to send the request again.
 Millis maxModelWait(const Route &route, Millis allowed);
 
-/// Recent times that requests of one route took, from the sending to a server to the end of the
+/// Recent times that requests of one route took, from the choice of a server to the end of its
 /// answer.
 struct RunTimes
 {
--- a/src/process/demandreports.cpp
+++ b/src/process/demandreports.cpp
@@ -62,15 +62,14 @@
     }
 }
 
-/// Adds the demands that arose since the last report, and forgets that they are new.
-void addNewDemands(Gateway &gateway, wire::BeatT &heartbeat)
+void addDemands(const Gateway &gateway, const std::set<ModelDemandKey> &keys,
+                wire::BeatT &heartbeat)
 {
-    for (const ModelDemandKey &key : gateway.m_newDemands) {
+    for (const ModelDemandKey &key : keys) {
         const auto demand = gateway.m_modelDemands.find(key);
         if (demand != gateway.m_modelDemands.end())
             addDemandEntry(gateway, key, demand->second, heartbeat);
     }
-    gateway.m_newDemands.clear();
 }
 
 } // namespace
@@ -112,17 +111,18 @@
         if (complete)
             completeReportAt = now(gateway) + demandReportInterval;
         const auto holder = gateway.m_peers.find(gateway.m_holder);
-        if (holdsLease(gateway) || holder == gateway.m_peers.end()) {
-            gateway.m_newDemands.clear();
+        const std::set<ModelDemandKey> newDemands = std::exchange(gateway.m_newDemands, {});
+        if (holdsLease(gateway)) {
             wake(*gateway.m_planTrigger);
             continue;
         }
+        if (holder == gateway.m_peers.end())
+            continue;
         wire::BeatT heartbeat = makeHeartbeat(gateway);
-        addNewDemands(gateway, heartbeat);
-        if (complete) {
-            heartbeat.wants.clear(); // all of them follow
+        if (complete)
             addAllDemands(gateway, heartbeat);
-        }
+        else
+            addDemands(gateway, newDemands, heartbeat);
         const bool hasDemand = !heartbeat.wants.empty() || !heartbeat.uses.empty();
         // One empty report shows the holder that demand ended.
         if (hasDemand || (complete && reportedDemand))
--- a/src/process/looplag.cpp
+++ b/src/process/looplag.cpp
@@ -33,6 +33,7 @@
 
 asio::awaitable<void> watchLoop(Gateway &gateway)
 {
+    gateway.m_loopLoad.m_since = now(gateway);
     while (true) {
         const Millis due = now(gateway) + measureInterval;
         co_await pauseFor(gateway, measureInterval);
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -120,9 +120,9 @@
 /// Cost, in ms of waiting, of evicting a model from a server.
 double evictionCost(const Planner &planner, const PlanServer &server, const ModelName &name)
 {
-    const ModelIndex *model = findModel(planner.m_index, name);
-    const ModelDemand *demand = model ? model->m_demand : nullptr;
-    const int replicas = std::max(replicasOf(planner, name), 1);
+    const ModelIndex *model = findModel(planner.m_index, name); // the server has it loaded
+    const ModelDemand *demand = model->m_demand;
+    const int replicas = model->m_replicas;
     double cost = unloadCost;
     if (runningOf(server, name) > 0)
         cost += runningModelCost;
@@ -158,12 +158,12 @@
     double m_cost = infiniteCost;
 };
 
-/// Replaces the best option if a load on that server costs less. `loadMs` is the time of the load.
-void considerServer(const Planner &planner, const EngineModel &model, std::size_t at, Millis loadMs,
-                    ReplicaOption &best)
+/// Replaces the best option if a load on that server, which takes `duration`, costs less.
+void considerServer(const Planner &planner, const EngineModel &model, std::size_t at,
+                    Millis duration, ReplicaOption &best)
 {
     const PlanServer &server = serverAt(planner, at);
-    double cost = static_cast<double>(loadMs.m_count);
+    double cost = static_cast<double>(duration.m_count);
     if (cost >= best.m_cost || !isFree(planner, at) || !server.m_pendingModel.m_text.empty())
         return;
     const bool needsVictim = !fits(planner, at, model);
--- a/src/process/planindex.cpp
+++ b/src/process/planindex.cpp
@@ -48,7 +48,8 @@
         pending.m_replicas += 1;
 }
 
-/// Records the local copies of the models that a load may be ordered for.
+/// Records the local copies of the models that already have an entry. No load is ordered for
+/// others, and they are most of what the disks hold.
 void indexCopies(PlanIndex &index, const PlacementInput &input, std::size_t at)
 {
     const ServerStatus &status = input.m_servers[at].m_serverStatus;
--- a/src/process/planindex.h
+++ b/src/process/planindex.h
@@ -19,10 +19,8 @@
     const EngineModel *m_published = nullptr; // null: not published
     const ModelDemand *m_demand = nullptr;    // for the model without an adapter; null: none
     std::vector<std::size_t> m_loadedOn;      // servers, by position in the input, ascending
-    /// Servers with a local copy of the weights, ascending. Only for models that a load may be
-    /// ordered for: those in demand and those that memory was freed for.
-    std::vector<std::size_t> m_copiesOn;
-    int m_pending = 0;            // servers that load it or make room for it
+    std::vector<std::size_t> m_copiesOn;      // servers with a local copy of the weights, ascending
+    int m_pending = 0;                        // servers that load it or make room for it
     int m_replicas = 0;           // servers of m_loadedOn, and others that count in m_pending
     bool m_usableReplica = false; // loaded on a usable server
 };
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -2,6 +2,7 @@
 // situations and in a simulation with servers made of plain structs.
 #include "gateway.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <ctime>
 #include <limits>
