--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -453,6 +453,26 @@
     co_return head;
 }
 
+const char *toText(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::ConnectionEnd:
+        return "connection_end";
+    }
+    return "connection_end";
+}
+
+BodyFraming bodyFramingOf(const HttpConnection &connection)
+{
+    if (connection.m_parser->chunked())
+        return BodyFraming::Chunks;
+    return connection.m_parser->need_eof() ? BodyFraming::ConnectionEnd : BodyFraming::Length;
+}
+
 asio::awaitable<Result<std::string>> readBodyPart(HttpConnection &connection, Millis timeout)
 {
     auto &parser = *connection.m_parser;
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -29,6 +29,15 @@
     std::string m_body;
 };
 
+/// What marks the end of a message body.
+enum class BodyFraming : std::uint8_t {
+    Length,        // Content-Length, or a response that never has a body
+    Chunks,        // the last chunk
+    ConnectionEnd, // nothing but the orderly end of the connection
+};
+
+const char *toText(BodyFraming framing);
+
 /// Status and header fields of a response.
 struct HttpHead
 {
@@ -150,6 +159,9 @@
 
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
+/// How the body of the response is framed whose head was read last.
+BodyFraming bodyFramingOf(const HttpConnection &connection);
+
 /// The next bytes of the body as they arrive; empty once the body is complete.
 asio::awaitable<Result<std::string>> readBodyPart(HttpConnection &connection, Millis timeout);
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -54,6 +54,7 @@
     Millis m_longestEventGap; // between two successive events
     bool m_headSent = false;  // the caller has received the head of an event stream
     EventScanner m_eventScanner;
+    std::optional<BodyFraming> m_framing; // of the last server's answer; empty: no head arrived
     WakeableTimer *m_wakeTimer = nullptr; // set while the request waits for its model
     HttpConnection *m_server = nullptr;   // set while a server handles the request
     /// Error answer of a server. It is passed on to the caller if no retry succeeds.
@@ -149,6 +150,8 @@
               {"sends", std::to_string(relay.m_sends)},
               {"waited_ms", std::to_string(relay.m_modelWaitTime.m_count)},
               {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
+              {"framing", relay.m_framing ? toText(*relay.m_framing) : ""},
+              {"partial_bytes", std::to_string(relay.m_eventScanner.m_partialEvent.size())},
               {"pause_ms", std::to_string(relay.m_longestEventGap.m_count)},
               {"took_ms", std::to_string(took.m_count)},
               {"limit_ms", std::to_string(limit.m_count)},
@@ -507,6 +510,7 @@
     auto head = co_await readHead(*connection, headTimeout);
     if (!ok(head))
         co_return recordSendFailure(relay, id, std::get<Failure>(head));
+    relay.m_framing = bodyFramingOf(*connection);
     const HttpHead &got = std::get<HttpHead>(head);
     const AnswerMetadata metadata = gateway.m_protocol->readAnswer(got);
     if (!metadata.m_id.empty() && metadata.m_id != relay.m_metadata.m_id)
