--- a/test.sh
+++ b/test.sh
@@ -15,7 +15,7 @@
 is_known_red() { # is_known_red NAME
   local names total test
   grep -q "^test: $1\$" KNOWN-RED.txt 2>/dev/null && return 0
-  names=$(sed -n 's/^\([A-Za-z]*Test::[A-Za-z0-9]*\).* : \(assertion\|error\)$/\1/p' "build/$1.out")
+  names=$(sed -n 's/^Test name: //p' "build/$1.out")
   total=$(sed -n 's/^Run: .*Failure total: \([0-9]*\) .*/\1/p' "build/$1.out")
   [ -n "$names" ] && [ "$(printf '%s\n' "$names" | wc -l)" = "$total" ] || return 1
   for test in $names; do
