--- a/src/gateway.h
+++ b/src/gateway.h
@@ -343,16 +343,26 @@
 void recordServerResult(KnownServer &known, bool good, Millis time);
 
 /// Splits a stream of server-sent events into complete events and keeps the id of the last one.
-/// Invariant: m_partialEvent contains no end of an event.
+/// Lines end with LF or CRLF. Invariant: m_partialEvent contains no end of an event.
 struct EventScanner
 {
     std::string m_partialEvent; // beginning of an event that is not yet complete
     std::string m_lastEventId;  // id of the last complete event that had one; empty: none
+    bool m_anyEvent = false;    // the present server has sent a complete event
 };
 
+/// Prepares the scanner for the stream of the next server: an incomplete event is dropped, the last
+/// id is kept.
+void beginServerStream(EventScanner &scanner);
+
 /// Appends received bytes and returns all complete events, in order, as one string.
 std::string scanEvents(EventScanner &scanner, std::string_view bytes);
 
+/// Whether a stream whose framing says that it ended is complete. It isn't if it ended inside an
+/// event. If only the end of the connection shows the end, at least one event is needed too: a
+/// server that crashes closes its connections in order as well.
+bool isStreamComplete(const EventScanner &scanner, BodyFraming framing);
+
 // ---------------------------------------------------------------------------------------------
 // 4. Lease
 // ---------------------------------------------------------------------------------------------
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -74,6 +74,18 @@
     return {static_cast<std::int64_t>(longest)};
 }
 
+/// Position behind the last blank line; 0 if there is none.
+std::size_t endOfLastEvent(std::string_view bytes)
+{
+    std::size_t end = 0;
+    for (const std::string_view blankLine : {"\n\n", "\n\r\n"}) {
+        const std::size_t at = bytes.rfind(blankLine);
+        if (at != std::string_view::npos)
+            end = std::max(end, at + blankLine.size());
+    }
+    return end;
+}
+
 void dropBefore(std::deque<Millis> &times, Millis before)
 {
     while (!times.empty() && times.front() < before)
@@ -177,15 +189,34 @@
     return true;
 }
 
+void beginServerStream(EventScanner &scanner)
+{
+    scanner.m_partialEvent.clear();
+    scanner.m_anyEvent = false;
+}
+
+bool isStreamComplete(const EventScanner &scanner, BodyFraming framing)
+{
+    const bool endIsStated = framing != BodyFraming::ConnectionEnd;
+    return scanner.m_partialEvent.empty() && (endIsStated || scanner.m_anyEvent);
+}
+
 std::string scanEvents(EventScanner &scanner, std::string_view bytes)
 {
     constexpr std::string_view idPrefix = "id:";
+    // No event ends before the new bytes, but the blank line may begin before them.
+    constexpr std::size_t blankLineOverlap = 2;
+    const std::size_t before = scanner.m_partialEvent.size();
+    const std::size_t from = before - std::min(before, blankLineOverlap);
     scanner.m_partialEvent.append(bytes);
-    const std::size_t eventsEnd = scanner.m_partialEvent.rfind("\n\n");
-    if (eventsEnd == std::string::npos)
+    const std::size_t length
+        = endOfLastEvent(std::string_view(scanner.m_partialEvent).substr(from));
+    if (length == 0)
         return {};
-    std::string completeEvents = scanner.m_partialEvent.substr(0, eventsEnd + 2);
-    scanner.m_partialEvent.erase(0, eventsEnd + 2);
+    const std::size_t eventsEnd = from + length;
+    scanner.m_anyEvent = true;
+    std::string completeEvents = scanner.m_partialEvent.substr(0, eventsEnd);
+    scanner.m_partialEvent.erase(0, eventsEnd);
     std::size_t at = completeEvents.rfind("\nid:");
     if (at != std::string::npos)
         at += 1;
@@ -194,7 +225,7 @@
     else
         return completeEvents;
     std::size_t begin = at + idPrefix.size();
-    const std::size_t end = completeEvents.find('\n', begin);
+    const std::size_t end = completeEvents.find_first_of("\r\n", begin);
     begin = std::min(completeEvents.find_first_not_of(' ', begin), end);
     scanner.m_lastEventId = completeEvents.substr(begin, end - begin);
     return completeEvents;
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -451,7 +451,7 @@
         if (!co_await beginStream(*relay.m_exchange, head))
             co_return SendResult{};
     }
-    relay.m_eventScanner.m_partialEvent.clear(); // drop the incomplete event of an earlier server
+    beginServerStream(relay.m_eventScanner);
     while (true) {
         const auto bytes = co_await readBodyPart(connection, remainingTime(relay) + deadlineGrace);
         if (callerDisconnected(relay))
@@ -468,9 +468,9 @@
         if (!co_await writeChunk(*relay.m_exchange, events))
             co_return SendResult{};
     }
-    if (!relay.m_eventScanner.m_partialEvent.empty()
-        && !co_await writeChunk(*relay.m_exchange, relay.m_eventScanner.m_partialEvent))
-        co_return SendResult{};
+    if (!isStreamComplete(relay.m_eventScanner, bodyFramingOf(connection)))
+        co_return recordSendFailure(
+            relay, id, makeFailure(ErrorKind::BackendBroken, "the server broke the stream off"));
     recordAnswer(relay, id, true);
     countAnswer(relay.m_gateway->m_metrics, ErrorKind::None);
     logCall(relay, "streamed", makeFailure(ErrorKind::None, id.m_text, RunState::Ran),
