Callers of HTTP/1.0 get no chunks, and a reset where an answer is broken off

A caller of HTTP/1.0 got the chunk sizes among the events and an orderly end of the connection in any case. Cause: beginStream() always wrote chunks, abortResponse() always closed in order. Fix: to HTTP/1.0 the bytes go without framing; their orderly end completes the response, and a response that isn't complete ends with a reset.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -28,6 +28,8 @@
     beast::flat_buffer m_buffer;
     std::shared_ptr<const HttpServerOptions> m_options;
     bool m_keepAlive = true;
+    unsigned m_version = 11;           // HTTP version of the present request, 10 or 11
+    bool m_endsWithConnection = false; // only the end of the connection completes the response
 };
 
 /// A connection to a server. The parser is replaced for each response.
@@ -161,6 +163,7 @@
     }
     auto &message = parser.get();
     session->m_keepAlive = message.keep_alive();
+    session->m_version = message.version();
     exchange->m_request.m_method = std::string(message.method_string());
     exchange->m_request.m_target = std::string(message.target());
     exchange->m_request.m_fields = getFields(message);
@@ -306,9 +309,11 @@
     message.version(11);
     message.result(head.m_status);
     setFields(message, head.m_fields);
-    session.m_keepAlive = session.m_keepAlive && !exchange.m_closeAfter;
+    session.m_endsWithConnection = session.m_version < 11;
+    session.m_keepAlive
+        = session.m_keepAlive && !exchange.m_closeAfter && !session.m_endsWithConnection;
     message.keep_alive(session.m_keepAlive);
-    message.chunked(true);
+    message.chunked(!session.m_endsWithConnection);
     http::response_serializer<http::empty_body> serializer(message);
     exchange.m_responseStarted = true;
     session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
@@ -325,8 +330,10 @@
         co_return !exchange.m_callerDisconnected;
     HttpSession &session = *exchange.m_session;
     session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
-    const auto chunk = http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
-    const auto [error, count] = co_await asio::async_write(session.m_stream, chunk, useAwaitable);
+    const asio::const_buffer buffer(bytes.data(), bytes.size());
+    const auto [error, count] = session.m_endsWithConnection
+        ? co_await asio::async_write(session.m_stream, buffer, useAwaitable)
+        : co_await asio::async_write(session.m_stream, http::make_chunk(buffer), useAwaitable);
     session.m_stream.expires_never();
     exchange.m_callerDisconnected = exchange.m_callerDisconnected || error;
     co_return !error;
@@ -335,6 +342,10 @@
 asio::awaitable<bool> endStream(HttpExchange &exchange)
 {
     HttpSession &session = *exchange.m_session;
+    if (session.m_endsWithConnection) { // serveConnection() ends the connection in order
+        exchange.m_responseComplete = !exchange.m_callerDisconnected;
+        co_return exchange.m_responseComplete;
+    }
     session.m_stream.expires_after(toChrono(session.m_options->m_writeTimeout));
     const auto [error, count]
         = co_await asio::async_write(session.m_stream, http::make_chunk_last(), useAwaitable);
@@ -346,8 +357,14 @@
 void abortResponse(HttpExchange &exchange)
 {
     exchange.m_aborted = true;
+    tcp::socket &socket = exchange.m_session->m_stream.socket();
     boost::system::error_code ignored;
-    exchange.m_session->m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (exchange.m_session->m_endsWithConnection) {
+        socket.set_option(asio::socket_base::linger(true, 0), ignored); // close with a reset
+        socket.close(ignored);
+        return;
+    }
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
 Result<std::shared_ptr<TcpListener>> listenHttp(const std::vector<asio::io_context *> &ios,
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -93,12 +93,17 @@
 /// Sends a complete response. This and the stream functions return false if the write failed: the
 /// caller can't be reached any more.
 asio::awaitable<bool> sendResponse(HttpExchange &exchange, const HttpResponse &response);
+
+/// Begins a response that is sent in chunks. To a caller of HTTP/1.0, which doesn't know chunks,
+/// the bytes are sent without framing, and the orderly end of the connection completes the
+/// response.
 asio::awaitable<bool> beginStream(HttpExchange &exchange, const HttpHead &head);
 asio::awaitable<bool> writeChunk(HttpExchange &exchange, std::string_view bytes);
 asio::awaitable<bool> endStream(HttpExchange &exchange);
 
-/// Shuts the connection down without the last chunk, so that the caller sees that the response is
-/// truncated.
+/// Ends the connection so that the caller sees that the response is truncated: without the last
+/// chunk or the rest of the stated length; where only the end of the connection would complete the
+/// response, with a reset.
 void abortResponse(HttpExchange &exchange);
 
 using HttpHandler = std::function<asio::awaitable<void>(HttpExchange &)>;
