Informational heads before a response are skipped

A head with a status 1xx was taken as the response, so a caller got 103 and an empty body, or a break, in place of the answer. Found by the table of AnswerEndsTest. Cause: readHead() read one head. Fix: it skips up to 8 informational ones within the same time limit; more of them are no response.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t responseLimit = 8UL * 1024 * 1024;   // bytes of a body, in fetchHttp()
 constexpr std::size_t discardLimit = 64UL * 1024 * 1024;   // bytes; see discardRestOfRequest()
 constexpr std::size_t earlyResponseBodySize = 32UL * 1024; // bytes; see writeRequest()
+constexpr int maxInformationalHeads = 8;                   // before the head of one response
 constexpr Millis discardTimeout = {2'000};                 // see discardRestOfRequest()
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
 
@@ -41,6 +42,7 @@
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_pooled = false;        // was taken from the pool for this exchange
+    bool m_headRequest = false;   // the request was a HEAD request: the response has no body
     bool m_responseRead = false;  // the response was read to its end
     bool m_earlyResponse = false; // the server responded or closed before it had read the request
     std::chrono::steady_clock::time_point m_idleUntil; // valid in the pool
@@ -447,9 +449,7 @@
     message.body() = request.m_body;
     message.prepare_payload();
     connection.m_responseRead = false;
-    connection.m_parser.emplace();
-    connection.m_parser->skip(request.m_method == "HEAD");
-    connection.m_parser->body_limit(boost::none);
+    connection.m_headRequest = request.m_method == "HEAD";
     connection.m_stream.expires_after(toChrono(timeout));
     const auto error = co_await writeRequest(connection, message);
     if (!error)
@@ -457,13 +457,33 @@
     co_return connectionFailure(error, RunState::Unknown);
 }
 
-asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout)
+namespace {
+
+/// Reads one head, informational or not, within the time limit set before.
+asio::awaitable<boost::system::error_code> readOneHead(HttpConnection &connection)
 {
-    connection.m_stream.expires_after(toChrono(timeout));
+    connection.m_parser.emplace();
+    connection.m_parser->skip(connection.m_headRequest);
+    connection.m_parser->body_limit(boost::none);
     const auto [error, bytes] = co_await http::async_read_header(
         connection.m_stream, connection.m_buffer, *connection.m_parser, useAwaitable);
+    co_return error;
+}
+
+} // namespace
+
+asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout)
+{
+    connection.m_stream.expires_after(toChrono(timeout));
+    auto error = co_await readOneHead(connection);
+    const auto informational
+        = [&] { return !error && connection.m_parser->get().result_int() / 100 == 1; };
+    for (int skipped = 0; informational() && skipped < maxInformationalHeads; ++skipped)
+        error = co_await readOneHead(connection);
     if (error)
         co_return connectionFailure(error, RunState::Unknown);
+    if (informational())
+        co_return makeFailure(ErrorKind::BackendBroken, "only informational heads, no response");
     HttpHead head;
     head.m_status = connection.m_parser->get().result_int();
     head.m_fields = getFields(connection.m_parser->get());
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -162,6 +162,7 @@
                                                     const Endpoint &endpoint,
                                                     const HttpRequest &request, Millis timeout);
 
+/// Reads the head of the response. Informational heads (1xx) before it are skipped, a few at most.
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
 /// How the body of the response is framed whose head was read last.
