Bytes without end: limits on memory and time for each part of a message

The users: bytes that are no answer may come without end, in a head or a body. Found by AnswerEndsTest on the code before: a body that drips restarted its time limit with each byte, so a call to the store, and the renewal of the lease with it, never ended; each answer could take 16 MB, 40 at one time more than a host has; an event or a chunk extension had no limit at all. Fix: readBody() has one time limit for the whole body; connections read ahead 64 KB at most, heads and trailers have 16 KB; an event has 1 MB; all answers that a host holds at one time share 32 MB (BodyBudget), and the one that goes over it fails with 502.

endlessBytesOfAServerEndTheRequest, concurrentEndlessAnswersKeepMemoryBounded and endlessAnswerOfTheStoreEndsTheCall failed before and pass now; memory and time are measured in them.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -18,8 +18,11 @@
 constexpr std::size_t responseLimit = 8UL * 1024 * 1024;   // bytes of a body, in fetchHttp()
 constexpr std::size_t discardLimit = 64UL * 1024 * 1024;   // bytes; see discardRestOfRequest()
 constexpr std::size_t earlyResponseBodySize = 32UL * 1024; // bytes; see writeRequest()
-constexpr int maxInformationalHeads = 8;                   // before the head of one response
-constexpr Millis discardTimeout = {2'000};                 // see discardRestOfRequest()
+constexpr std::uint32_t responseHeadLimit = 16 * 1024;     // bytes of a head, and of trailers
+/// Bytes read ahead on a connection. Chunk extensions have no limit of their own.
+constexpr std::size_t connectionBufferLimit = 64UL * 1024;
+constexpr int maxInformationalHeads = 8;   // before the head of one response
+constexpr Millis discardTimeout = {2'000}; // see discardRestOfRequest()
 constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
 
 /// A caller's connection.
@@ -39,7 +42,7 @@
     explicit HttpConnection(asio::io_context &io) : m_stream(io) { }
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{connectionBufferLimit};
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_pooled = false;        // was taken from the pool for this exchange
     bool m_headRequest = false;   // the request was a HEAD request: the response has no body
@@ -145,6 +148,7 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(session->m_options->m_bodyLimit);
     parser.header_limit(static_cast<std::uint32_t>(session->m_options->m_headLimit));
+    session->m_buffer.max_size(session->m_options->m_headLimit + connectionBufferLimit);
     if (!co_await waitForBytes(*session))
         co_return false;
     session->m_stream.expires_after(toChrono(session->m_options->m_headTimeout));
@@ -465,6 +469,7 @@
     connection.m_parser.emplace();
     connection.m_parser->skip(connection.m_headRequest);
     connection.m_parser->body_limit(boost::none);
+    connection.m_parser->header_limit(responseHeadLimit);
     const auto [error, bytes] = co_await http::async_read_header(
         connection.m_stream, connection.m_buffer, *connection.m_parser, useAwaitable);
     co_return error;
@@ -534,12 +539,24 @@
     co_return std::string();
 }
 
+bool holdBytes(HeldBytes &held, std::size_t count)
+{
+    if (held.m_budget.m_used + count > held.m_budget.m_limit)
+        return false;
+    held.m_budget.m_used += count;
+    held.m_count += count;
+    return true;
+}
+
 asio::awaitable<Result<std::string>> readBody(HttpConnection &connection, Millis timeout,
-                                              std::size_t limit)
+                                              std::size_t limit, HeldBytes *held)
 {
+    const auto end = std::chrono::steady_clock::now() + toChrono(timeout);
     std::string body;
     while (true) {
-        const auto bytes = co_await readBodyPart(connection, timeout);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            end - std::chrono::steady_clock::now());
+        const auto bytes = co_await readBodyPart(connection, {left.count()});
         if (!ok(bytes))
             co_return std::get<Failure>(bytes);
         const std::string &text = std::get<std::string>(bytes);
@@ -548,6 +565,9 @@
         body += text;
         if (body.size() > limit)
             co_return makeFailure(ErrorKind::BackendBroken, "the response is over the size limit");
+        if (held && !holdBytes(*held, text.size()))
+            co_return makeFailure(ErrorKind::BackendBroken,
+                                  "the responses read now are over the memory limit");
     }
 }
 
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -168,12 +168,37 @@
 /// How the body of the response is framed whose head was read last.
 BodyFraming bodyFramingOf(const HttpConnection &connection);
 
+/// Limits the memory of bodies that are read at the same time. A body that would exceed the limit
+/// fails, so that endless responses can't fill the memory of the process.
+struct BodyBudget
+{
+    std::size_t m_limit = 32UL << 20; // bytes
+    std::size_t m_used = 0;           // bytes of the bodies held now
+};
+
+/// Bytes of one body that are counted in a budget, as long as this object lives.
+struct HeldBytes
+{
+    explicit HeldBytes(BodyBudget &budget) : m_budget(budget) { }
+    ~HeldBytes() { m_budget.m_used -= m_count; }
+    HeldBytes(const HeldBytes &) = delete;
+    HeldBytes &operator=(const HeldBytes &) = delete;
+
+    BodyBudget &m_budget;
+    std::size_t m_count = 0;
+};
+
+/// Counts further bytes; false, and counts nothing, if the budget doesn't allow them.
+bool holdBytes(HeldBytes &held, std::size_t count);
+
 /// The next bytes of the body as they arrive; empty once the body is complete.
 asio::awaitable<Result<std::string>> readBodyPart(HttpConnection &connection, Millis timeout);
 
-/// Reads the rest of the body. Failure if it is larger than the limit, in bytes.
+/// Reads the rest of the body within `timeout` in all, however slowly the bytes arrive. Failure if
+/// it is larger than the limit, in bytes, or than what the budget of `held`, if given, still
+/// allows.
 asio::awaitable<Result<std::string>> readBody(HttpConnection &connection, Millis timeout,
-                                              std::size_t limit);
+                                              std::size_t limit, HeldBytes *held = nullptr);
 
 /// Returns the connection to the pool if its response was read to the end and the server keeps the
 /// connection open; else closes it.
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -342,6 +342,8 @@
 /// Records whether a request to the server succeeded. A success resets the count of failures.
 void recordServerResult(KnownServer &known, bool good, Millis time);
 
+constexpr std::size_t maxEventBytes = 1UL << 20; // of one event; a longer one ends the stream
+
 /// Splits a stream of server-sent events into complete events and keeps the id of the last one.
 /// Lines end with LF or CRLF. Invariant: m_partialEvent contains no end of an event.
 struct EventScanner
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -139,8 +139,9 @@
     Metrics m_metrics;
     std::mt19937_64 m_random;
 
-    HttpPool m_store;   // connections to the platform's store
-    HttpPool m_servers; // connections to backend servers
+    HttpPool m_store;         // connections to the platform's store
+    HttpPool m_servers;       // connections to backend servers
+    BodyBudget m_answerBytes; // answers read completely before they are passed on
     StoreHealth m_storeHealth;
     LoopLoad m_loopLoad;
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -30,6 +30,8 @@
 /// State of one request while this host handles it.
 struct Relay
 {
+    explicit Relay(Gateway &gateway) : m_gateway(&gateway), m_heldBytes(gateway.m_answerBytes) { }
+
     Gateway *m_gateway = nullptr;
     HttpExchange *m_exchange = nullptr;
     std::shared_ptr<const RouteTable> m_routes;
@@ -59,6 +61,7 @@
     HttpConnection *m_server = nullptr;   // set while a server handles the request
     /// Error answer of a server. It is passed on to the caller if no retry succeeds.
     std::optional<HttpResponse> m_lastFailedAnswer;
+    HeldBytes m_heldBytes; // of all answers read completely for this request
 };
 
 /// Outcome of one attempt to have a server handle the request.
@@ -462,6 +465,10 @@
         if (text.empty())
             break;
         const std::string events = scanEvents(relay.m_eventScanner, text);
+        if (relay.m_eventScanner.m_partialEvent.size() > maxEventBytes)
+            co_return recordSendFailure(
+                relay, id,
+                makeFailure(ErrorKind::BackendBroken, "an event is over the size limit"));
         if (events.empty())
             continue;
         recordEvent(relay);
@@ -530,8 +537,8 @@
             releaseHttpConnection(gateway.m_servers, endpoint, connection);
         co_return result;
     }
-    auto body
-        = co_await readBody(*connection, remainingTime(relay) + deadlineGrace, maxAnswerBytes);
+    auto body = co_await readBody(*connection, remainingTime(relay) + deadlineGrace, maxAnswerBytes,
+                                  &relay.m_heldBytes);
     if (!ok(body))
         co_return recordSendFailure(relay, id, std::get<Failure>(body));
     HttpResponse response;
@@ -710,8 +717,7 @@
 
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange)
 {
-    Relay relay;
-    relay.m_gateway = &gateway;
+    Relay relay(gateway);
     relay.m_exchange = &exchange;
     relay.m_arrived = now(gateway);
     gateway.m_inFlight += 1;
