--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -220,6 +220,7 @@
     begin(gateway, "lease", maintainLease(gateway));
     begin(gateway, "placement", runPlacement(gateway));
     begin(gateway, "watch_loop", watchLoop(gateway));
+    begin(gateway, "watch_peer_traffic", watchPeerTraffic(gateway));
     logEvent("started", {{"run", gateway.m_run}, {"caller", toText(settings.m_caller)}});
     return std::nullopt;
 }
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -117,6 +117,16 @@
     Millis m_since;
 };
 
+/// Datagrams exchanged with other hosts since m_since.
+struct PeerTraffic
+{
+    std::size_t m_sentBytes = 0;
+    std::size_t m_receivedBytes = 0;
+    int m_sent = 0; // datagrams
+    int m_received = 0;
+    Millis m_since;
+};
+
 /// The holder's last request for an extension of its lease, sent to all other hosts. Valid if
 /// m_number is above 0.
 struct ExtensionRequest
@@ -144,6 +154,7 @@
     BodyBudget m_answerBytes; // answers read completely before they are passed on
     StoreHealth m_storeHealth;
     LoopLoad m_loopLoad;
+    PeerTraffic m_peerTraffic;
 
     std::shared_ptr<const RouteTable> m_routes; // null until the first configuration is known
     std::shared_ptr<HttpServerOptions> m_callerOptions;
@@ -234,6 +245,10 @@
 /// requests.
 asio::awaitable<void> watchLoop(Gateway &gateway);
 
+/// Logs `peer_traffic`: bytes exchanged with other hosts in some seconds, on the lease holder and
+/// on hosts with much of it. What goes beyond the host's link is lost, heartbeats too.
+asio::awaitable<void> watchPeerTraffic(Gateway &gateway);
+
 /// Records the time that the computation of a placement plan took.
 void recordPlanTime(Gateway &gateway, Millis took);
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -173,6 +173,9 @@
     boost::system::error_code error;
     const udp::endpoint target(asio::ip::make_address(endpoint.m_ip), endpoint.m_port);
     gateway.m_udp->send_to(asio::buffer(bytes), target, 0, error);
+    gateway.m_peerTraffic.m_sentBytes += bytes.size();
+    gateway.m_peerTraffic.m_sent += 1;
+    countPeerBytes(gateway.m_metrics, true, bytes.size());
     // A datagram that can't be sent counts as lost: the next heartbeat carries the same state.
 }
 
@@ -194,6 +197,9 @@
             co_await pauseFor(gateway, {10});
             continue;
         }
+        gateway.m_peerTraffic.m_receivedBytes += size;
+        gateway.m_peerTraffic.m_received += 1;
+        countPeerBytes(gateway.m_metrics, false, size);
         const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
         flatbuffers::Verifier verifier(data, size);
         if (!verifier.VerifyBuffer<wire::Beat>())
--- a/src/process/looplag.cpp
+++ b/src/process/looplag.cpp
@@ -1,4 +1,5 @@
-// Measures the load of the event loop: the delay of its timers and the time that plans take.
+// Measures the load of the event loop (the delay of its timers and the time that plans take) and
+// the traffic with other hosts.
 #include "process/gatewaystate.h"
 #include "process/log.h"
 
@@ -29,8 +30,41 @@
     load.m_since = time;
 }
 
+constexpr Millis trafficLogInterval = {5'000};
+constexpr std::size_t muchTraffic = 100'000; // bytes a second in one direction
+
+void logTraffic(Gateway &gateway, Millis time)
+{
+    const PeerTraffic &traffic = gateway.m_peerTraffic;
+    const auto ms
+        = static_cast<std::size_t>(std::max<std::int64_t>((time - traffic.m_since).m_count, 1));
+    const std::size_t sent = traffic.m_sentBytes * 1'000 / ms;
+    const std::size_t received = traffic.m_receivedBytes * 1'000 / ms;
+    if (!holdsLease(gateway) && std::max(sent, received) < muchTraffic)
+        return;
+    logEvent("peer_traffic",
+             {{"sent_bytes_per_s", std::to_string(sent)},
+              {"received_bytes_per_s", std::to_string(received)},
+              {"sent", std::to_string(traffic.m_sent)},
+              {"received", std::to_string(traffic.m_received)},
+              {"period_ms", std::to_string(ms)},
+              {"holder", holdsLease(gateway) ? "yes" : "no"}});
+}
+
 } // namespace
 
+asio::awaitable<void> watchPeerTraffic(Gateway &gateway)
+{
+    gateway.m_peerTraffic.m_since = now(gateway);
+    while (true) {
+        co_await pauseFor(gateway, trafficLogInterval);
+        const Millis time = now(gateway);
+        logTraffic(gateway, time);
+        gateway.m_peerTraffic = {};
+        gateway.m_peerTraffic.m_since = time;
+    }
+}
+
 asio::awaitable<void> watchLoop(Gateway &gateway)
 {
     gateway.m_loopLoad.m_since = now(gateway);
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -29,6 +29,8 @@
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
+    Counter *m_peerBytesSent = nullptr;
+    Counter *m_peerBytesReceived = nullptr;
 };
 
 namespace {
@@ -82,6 +84,12 @@
                             .Help("Calls to the platform, by call and outcome")
                             .Register(registry);
     made->m_retries = makeCounter(registry, "apricot_retries_total", "Attempts after the first");
+    auto &peerBytes = BuildCounter()
+                          .Name("apricot_peer_bytes_total")
+                          .Help("Bytes of messages between hosts, by direction")
+                          .Register(registry);
+    made->m_peerBytesSent = &peerBytes.Add({{"direction", "sent"}});
+    made->m_peerBytesReceived = &peerBytes.Add({{"direction", "received"}});
     made->m_forwards = makeCounter(registry, "apricot_forwards_total", "Requests sent to a home");
     made->m_idle = makeCounter(registry, "apricot_idle_accelerator_seconds_total",
                                "Time that loaded models of owned cells had no request");
@@ -112,6 +120,13 @@
     metrics.m_registry->m_retries->Increment();
 }
 
+void countPeerBytes(Metrics &metrics, bool sent, std::size_t bytes)
+{
+    Counter *counter
+        = sent ? metrics.m_registry->m_peerBytesSent : metrics.m_registry->m_peerBytesReceived;
+    counter->Increment(static_cast<double>(bytes));
+}
+
 void countForward(Metrics &metrics)
 {
     metrics.m_registry->m_forwards->Increment();
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -40,6 +40,9 @@
 /// Counts a call to the platform: "read", "watch" or "write".
 void countPlatformCall(Metrics &metrics, std::string_view call, bool answered);
 void countRetry(Metrics &metrics);
+
+/// Counts bytes of messages sent to other hosts, or received from them.
+void countPeerBytes(Metrics &metrics, bool sent, std::size_t bytes);
 void countForward(Metrics &metrics);
 void observe(Metrics &metrics, LatencyKind kind, Millis time);
 
