--- a/src/process/demandreports.cpp
+++ b/src/process/demandreports.cpp
@@ -100,35 +100,40 @@
     wake(*gateway.m_demandReportTrigger);
 }
 
+void sendDueDemandReport(Gateway &gateway)
+{
+    DemandReporting &state = gateway.m_demandReporting;
+    const bool complete = now(gateway) >= state.m_completeAt;
+    if (complete)
+        state.m_completeAt = now(gateway) + demandReportInterval;
+    const auto holder = gateway.m_peers.find(gateway.m_holder);
+    const std::set<ModelDemandKey> newDemands = std::exchange(gateway.m_newDemands, {});
+    if (holdsLease(gateway)) {
+        wake(*gateway.m_planTrigger);
+        return;
+    }
+    if (holder == gateway.m_peers.end())
+        return;
+    wire::BeatT heartbeat = makeHeartbeat(gateway);
+    if (complete)
+        addAllDemands(gateway, heartbeat);
+    else
+        addDemands(gateway, newDemands, heartbeat);
+    const bool hasDemand = !heartbeat.wants.empty() || !heartbeat.uses.empty();
+    // One empty report shows the holder that demand ended.
+    if (hasDemand || (complete && state.m_reportedDemand))
+        sendDatagram(gateway, holder->second.m_entry.m_peer, encodeHeartbeat(heartbeat));
+    if (complete)
+        state.m_reportedDemand = hasDemand;
+}
+
 asio::awaitable<void> reportDemandToHolder(Gateway &gateway)
 {
-    bool reportedDemand = false; // the last complete report wasn't empty
-    Millis completeReportAt = now(gateway);
     while (true) {
-        co_await sleepUntilWoken(*gateway.m_demandReportTrigger, completeReportAt - now(gateway));
+        const Millis due = gateway.m_demandReporting.m_completeAt;
+        co_await sleepUntilWoken(*gateway.m_demandReportTrigger, due - now(gateway));
         co_await pauseFor(gateway, demandReportDelay);
-        const bool complete = now(gateway) >= completeReportAt;
-        if (complete)
-            completeReportAt = now(gateway) + demandReportInterval;
-        const auto holder = gateway.m_peers.find(gateway.m_holder);
-        const std::set<ModelDemandKey> newDemands = std::exchange(gateway.m_newDemands, {});
-        if (holdsLease(gateway)) {
-            wake(*gateway.m_planTrigger);
-            continue;
-        }
-        if (holder == gateway.m_peers.end())
-            continue;
-        wire::BeatT heartbeat = makeHeartbeat(gateway);
-        if (complete)
-            addAllDemands(gateway, heartbeat);
-        else
-            addDemands(gateway, newDemands, heartbeat);
-        const bool hasDemand = !heartbeat.wants.empty() || !heartbeat.uses.empty();
-        // One empty report shows the holder that demand ended.
-        if (hasDemand || (complete && reportedDemand))
-            sendDatagram(gateway, holder->second.m_entry.m_peer, encodeHeartbeat(heartbeat));
-        if (complete)
-            reportedDemand = hasDemand;
+        sendDueDemandReport(gateway);
     }
 }
 
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -127,6 +127,13 @@
     Millis m_since;
 };
 
+/// State of the demand reports to the lease holder.
+struct DemandReporting
+{
+    Millis m_completeAt;           // when the next complete report is due
+    bool m_reportedDemand = false; // the last complete report wasn't empty
+};
+
 /// The holder's last request for an extension of its lease, sent to all other hosts. Valid if
 /// m_number is above 0.
 struct ExtensionRequest
@@ -177,6 +184,7 @@
     std::map<HostName, Millis> m_unregisteredHosts;
 
     std::uint64_t m_hostEntryRevision = 0; // of this host's entry in the register; 0: no entry
+    DemandReporting m_demandReporting;
     std::set<ModelDemandKey> m_newDemands; // first call waits since the last demand report
     std::unique_ptr<WakeableTimer> m_demandReportTrigger; // wakes reportDemandToHolder()
     std::map<InstanceId, ServerStatus> m_unsentStatus;    // broadcast, but not sent yet
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -14,6 +14,12 @@
 void sendDatagram(Gateway &gateway, const Endpoint &endpoint, const std::string &bytes);
 void sendToAllPeers(Gateway &gateway, const wire::BeatT &heartbeat);
 
+/// Sends the lease holder the demand report that is due at this time, if any.
+void sendDueDemandReport(Gateway &gateway);
+
+/// Sends the status updates that are due at this time to the other hosts.
+void sendDueStatusUpdates(Gateway &gateway);
+
 /// Takes over the demand of a host's callers, if the heartbeat contains it.
 void applyDemandReport(Gateway &gateway, Peer &peer, const wire::BeatT &heartbeat);
 
--- a/src/process/statusupdates.cpp
+++ b/src/process/statusupdates.cpp
@@ -76,13 +76,18 @@
     wake(*gateway.m_statusTrigger);
 }
 
+void sendDueStatusUpdates(Gateway &gateway)
+{
+    while (!gateway.m_unsentStatus.empty())
+        sendToAllPeers(gateway, takeUnsentUpdates(gateway));
+}
+
 asio::awaitable<void> sendStatusUpdates(Gateway &gateway)
 {
     while (true) {
         co_await sleepUntilWoken(*gateway.m_statusTrigger, longestSleep);
         co_await pauseFor(gateway, batchDelay);
-        while (!gateway.m_unsentStatus.empty())
-            sendToAllPeers(gateway, takeUnsentUpdates(gateway));
+        sendDueStatusUpdates(gateway);
     }
 }
 
