--- /dev/null
+++ b/tests/unit/hosttraffic.cpp
@@ -0,0 +1,273 @@
+// Tests of how many bytes the hosts of a large gateway exchange, on a manual clock: demand reports
+// to the lease holder and its status updates, with demand drawn from a fixed seed. What exceeds the
+// link of the holder is lost, and its heartbeats with it.
+#include "machines.h"
+#include "process/heartbeat.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricot;
+using udp = asio::ip::udp;
+
+namespace {
+
+constexpr int hosts = 72;
+constexpr int servers = 60;
+constexpr int models = 333;
+constexpr double requestsPerSecond = 290; // for models, over all hosts
+constexpr double updatesPerSecond = 80;   // of the status of model servers
+constexpr Millis simulated = {30'000};
+constexpr Millis step = {4};
+
+/// Bytes a second that control may take of each host, by the size to design for.
+constexpr double hostBound = 13'000;
+/// Half of the smallest link that holds the lease, 10 Mbit/s; callers' requests need the rest.
+constexpr double holderBound = 10e6 / 8 / 2;
+
+/// A model by its rank: a few get most of the requests, as the inverse of the rank.
+std::string drawModel(std::mt19937_64 &random)
+{
+    const double share = std::uniform_real_distribution<double>(0, 1)(random);
+    const int rank = static_cast<int>(std::pow(models, share)) - 1;
+    return "model" + std::to_string(10'000 + rank);
+}
+
+std::string serverName(int number)
+{
+    return "i-00000000" + std::to_string(10 + number);
+}
+
+/// A gateway on a manual clock whose other hosts all have the address of one socket.
+struct TrafficGateway
+{
+    explicit TrafficGateway(const std::string &host, int peers)
+    {
+        GatewaySettings settings;
+        settings.m_host = {host};
+        m_gateway = makeGateway(settings, "", platformProtocol());
+        m_gateway->m_clock.m_manual = true;
+        m_gateway->m_clock.m_now = {100'000};
+        const udp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+        m_gateway->m_udp = std::make_unique<udp::socket>(m_gateway->m_io, any);
+        m_socket = std::make_unique<udp::socket>(m_gateway->m_io, any);
+        m_socket->non_blocking(true);
+        for (int number = 0; number < peers; ++number) {
+            Peer &peer = m_gateway->m_peers[{"host-" + std::to_string(100 + number)}];
+            peer.m_entry.m_host = {"host-" + std::to_string(100 + number)};
+            peer.m_entry.m_peer = {"127.0.0.1", m_socket->local_endpoint().port()};
+        }
+        for (int number = 0; number < servers; ++number) {
+            BackendServer server;
+            server.m_id = {serverName(number)};
+            server.m_service = {"service"};
+            server.m_serverStatus.m_startUnixMs = 1;
+            applyEntry(m_gateway->m_serverTable, server, now(*m_gateway));
+        }
+    }
+
+    std::vector<wire::BeatT> received()
+    {
+        std::vector<wire::BeatT> heartbeats;
+        std::string bytes(60'000, '\0');
+        boost::system::error_code error;
+        while (true) {
+            const std::size_t size = m_socket->receive(asio::buffer(bytes), 0, error);
+            if (error)
+                return heartbeats;
+            CPPUNIT_ASSERT(size > 0);
+            heartbeats.emplace_back();
+            flatbuffers::GetRoot<wire::Beat>(bytes.data())->UnPackTo(&heartbeats.back());
+        }
+    }
+
+    void advance() { m_gateway->m_clock.m_now = m_gateway->m_clock.m_now + step; }
+
+    double sentBytesPerSecond() const
+    {
+        return static_cast<double>(m_gateway->m_peerTraffic.m_sentBytes) * 1'000
+            / static_cast<double>(simulated.m_count);
+    }
+
+    std::unique_ptr<Gateway> m_gateway;
+    std::unique_ptr<udp::socket> m_socket;
+};
+
+/// Requests of one host's callers: each runs for a while on a server, and one in five waits before
+/// that until its model is loaded.
+struct DrawnRequests
+{
+    explicit DrawnRequests(Gateway &gateway, std::uint64_t seed)
+        : m_gateway(gateway), m_timer(gateway.m_io), m_random(seed)
+    {
+    }
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+
+    Millis drawTime(std::int64_t least, std::int64_t most)
+    {
+        return {std::uniform_int_distribution<std::int64_t>(least, most)(m_random)};
+    }
+
+    void advance()
+    {
+        const Millis time = now(m_gateway);
+        for (auto next = m_ends.begin(); next != m_ends.end() && next->first <= time;
+             next = m_ends.erase(next))
+            next->second();
+        if (!chance(requestsPerSecond / hosts * static_cast<double>(step.m_count) / 1'000))
+            return;
+        const ModelDemandKey key = {{"service"}, {drawModel(m_random)}, {chance(0.3) ? "a1" : ""}};
+        recordArrival(m_gateway.m_modelDemands[key], time);
+        if (chance(0.2))
+            wait(key);
+        else
+            run(key);
+    }
+
+    void wait(const ModelDemandKey &key)
+    {
+        auto &calls = m_gateway.m_modelDemands[key].m_waitingCalls;
+        const auto call = calls.insert(calls.end(), {&m_timer, now(m_gateway), {800}});
+        if (calls.size() == 1)
+            reportNewDemand(m_gateway, key);
+        m_ends.emplace(now(m_gateway) + drawTime(500, 2'800), [this, key, call] {
+            m_gateway.m_modelDemands[key].m_waitingCalls.erase(call);
+            run(key);
+        });
+    }
+
+    void run(const ModelDemandKey &key)
+    {
+        const InstanceId server = {serverName(static_cast<int>(m_random() % servers))};
+        count(key, server, 1);
+        m_ends.emplace(now(m_gateway) + drawTime(500, 9'000),
+                       [this, key, server] { count(key, server, -1); });
+    }
+
+    void count(const ModelDemandKey &key, const InstanceId &server, int change)
+    {
+        m_gateway.m_modelDemands[key].m_running += change;
+        m_gateway.m_serverTable.m_servers[server].m_running[key.m_model] += change;
+    }
+
+    Gateway &m_gateway;
+    WakeableTimer m_timer;
+    std::mt19937_64 m_random;
+    std::multimap<Millis, std::function<void()>> m_ends;
+};
+
+} // namespace
+
+class HostTrafficTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HostTrafficTest);
+    CPPUNIT_TEST(demandReportsFitTheLinkOfTheHolder);
+    CPPUNIT_TEST(statusUpdatesFitTheLinkOfTheHolder);
+    CPPUNIT_TEST(waitingHostsLearnOfALoadedModelAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against models that are never served because the hosts' demand reports fill the link
+    /// of the lease holder: heartbeats, renewals and orders are then lost or late.
+    void demandReportsFitTheLinkOfTheHolder()
+    {
+        TrafficGateway host("host-200", 1);
+        TrafficGateway holder("host-100", 0);
+        Gateway &gateway = *host.m_gateway;
+        gateway.m_holder = {"host-100"};
+        Peer &view = holder.m_gateway->m_peers[{"host-200"}];
+        DrawnRequests requests(gateway, 1);
+        for (Millis time; time < simulated; time = time + step) {
+            host.advance();
+            holder.advance();
+            requests.advance();
+            sendDueDemandReport(gateway);
+            for (const wire::BeatT &heartbeat : host.received())
+                applyDemandReport(*holder.m_gateway, view, heartbeat);
+        }
+        CPPUNIT_ASSERT(host.sentBytesPerSecond() < hostBound);
+        CPPUNIT_ASSERT(host.sentBytesPerSecond() * (hosts - 1) < holderBound);
+    }
+
+    /// Guards against models that are never served because the status updates fill the link of the
+    /// lease holder, so that its heartbeats are lost and requests are refused although it works.
+    void statusUpdatesFitTheLinkOfTheHolder()
+    {
+        TrafficGateway holder("host-100", hosts - 1);
+        Gateway &gateway = *holder.m_gateway;
+        std::mt19937_64 random(1);
+        for (auto &[host, peer] : gateway.m_peers) {
+            wire::BeatT report;
+            report.tells_use = true;
+            for (int number = 0; number < 25; ++number) {
+                report.wants.push_back(std::make_unique<wire::WantEntryT>());
+                report.wants.back()->service = "service";
+                report.wants.back()->model = drawModel(random);
+                report.wants.back()->rate = 0.1F;
+            }
+            applyDemandReport(gateway, peer, report);
+        }
+        std::map<InstanceId, ServerStatus> statuses;
+        for (int number = 0; number < servers; ++number) {
+            ServerStatus &status = statuses[{serverName(number)}];
+            status.m_startUnixMs = 1;
+            for (int loaded = 0; loaded < 3; ++loaded)
+                status.m_models.push_back({{drawModel(random)}, {{"a1"}}});
+        }
+        for (Millis time; time < simulated; time = time + step) {
+            holder.advance();
+            const double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+            if (drawn < updatesPerSecond * static_cast<double>(step.m_count) / 1'000) {
+                auto &[id, status] = *std::next(statuses.begin(), random() % servers);
+                status.m_sequence += 1;
+                status.m_models[random() % 3].m_name = {drawModel(random)};
+                broadcastStatusUpdate(gateway, id, status);
+            }
+            sendDueStatusUpdates(gateway);
+        }
+        CPPUNIT_ASSERT(holder.sentBytesPerSecond() < holderBound);
+    }
+
+    /// Guards against savings at the callers' cost: a host whose callers wait for a model must
+    /// learn at once that it is loaded, also if an earlier update was lost.
+    void waitingHostsLearnOfALoadedModelAtOnce()
+    {
+        TrafficGateway holder("host-100", 1);
+        Gateway &gateway = *holder.m_gateway;
+        confirmLease(gateway.m_lease, gateway.m_leaseTiming, {{"host-100"}, "run", 1}, 1,
+                     now(gateway), now(gateway));
+        ServerStatus status;
+        status.m_startUnixMs = 1;
+        status.m_sequence = 1;
+        broadcastStatusUpdate(gateway, {serverName(0)}, status);
+        sendDueStatusUpdates(gateway);
+        holder.received();
+        wire::BeatT report;
+        report.wants.push_back(std::make_unique<wire::WantEntryT>());
+        report.wants[0]->service = "service";
+        report.wants[0]->model = "model10001";
+        report.wants[0]->waiting = 1;
+        Peer &peer = gateway.m_peers.begin()->second;
+        applyDemandReport(gateway, peer, report);
+        status.m_sequence = 2;
+        status.m_models.push_back({{"model10001"}, {}});
+        broadcastStatusUpdate(gateway, {serverName(0)}, status);
+        holder.advance();
+        sendDueStatusUpdates(gateway);
+        const auto first = holder.received();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, first[0].notices.at(0)->sequence);
+        // The update was lost: the host reports the same demand again.
+        applyDemandReport(gateway, peer, report);
+        holder.advance();
+        sendDueStatusUpdates(gateway);
+        const auto second = holder.received();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second[0].notices.at(0)->sequence);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostTrafficTest);
