Test of the holder's traffic: orders change rarely used models

The first version drew the models that orders load and unload by their popularity. Now nine in ten are rarely used.

--- a/tests/unit/hosttraffic.cpp
+++ b/tests/unit/hosttraffic.cpp
@@ -32,6 +32,15 @@
     return "model" + std::to_string(10'000 + rank);
 }
 
+/// A model that an order loads or unloads. Plans evict rarely used models only; one order in ten
+/// adds a replica of a model, or an adapter, by its popularity.
+std::string drawChangedModel(std::mt19937_64 &random)
+{
+    if (random() % 10 == 0)
+        return drawModel(random);
+    return "model" + std::to_string(10'000 + servers + random() % (models - servers));
+}
+
 std::string serverName(int number)
 {
     return "i-00000000" + std::to_string(10 + number);
@@ -223,7 +232,7 @@
             if (drawn < updatesPerSecond * static_cast<double>(step.m_count) / 1'000) {
                 auto &[id, status] = *std::next(statuses.begin(), random() % servers);
                 status.m_sequence += 1;
-                status.m_models[random() % 3].m_name = {drawModel(random)};
+                status.m_models[random() % 3].m_name = {drawChangedModel(random)};
                 broadcastStatusUpdate(gateway, id, status);
             }
             sendDueStatusUpdates(gateway);
