--- a/src/process/demandreports.cpp
+++ b/src/process/demandreports.cpp
@@ -88,6 +88,8 @@
     for (const auto &entry : heartbeat.wants) {
         const ModelDemandKey key = {{entry->service}, {entry->model}, {entry->adapter}};
         peer.m_modelDemands[key] = demandOf(*entry);
+        if (entry->waiting > 0)
+            answerDemand(gateway, peer.m_entry.m_host, key);
     }
     for (const auto &entry : heartbeat.uses)
         peer.m_uses[{{entry->server}, {entry->model}}] = entry->running;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -134,6 +134,16 @@
     bool m_reportedDemand = false; // the last complete report wasn't empty
 };
 
+/// Status updates of model servers that the lease holder still has to send. A host whose callers
+/// use or wait for a model that was loaded or unloaded gets the update at once, the others later,
+/// so that the bytes don't grow with orders times hosts.
+struct StatusUpdates
+{
+    std::map<InstanceId, ServerStatus> m_forAll; // sent to all hosts at m_forAllAt
+    Millis m_forAllAt;
+    std::map<HostName, std::map<InstanceId, ServerStatus>> m_urgent; // by receiver
+};
+
 /// The holder's last request for an extension of its lease, sent to all other hosts. Valid if
 /// m_number is above 0.
 struct ExtensionRequest
@@ -187,8 +197,8 @@
     DemandReporting m_demandReporting;
     std::set<ModelDemandKey> m_newDemands; // first call waits since the last demand report
     std::unique_ptr<WakeableTimer> m_demandReportTrigger; // wakes reportDemandToHolder()
-    std::map<InstanceId, ServerStatus> m_unsentStatus;    // broadcast, but not sent yet
-    std::unique_ptr<WakeableTimer> m_statusTrigger;       // wakes sendStatusUpdates()
+    StatusUpdates m_statusUpdates;
+    std::unique_ptr<WakeableTimer> m_statusTrigger; // wakes sendStatusUpdates()
 
     Lease m_lease;
     LeaseTiming m_leaseTiming;
@@ -351,9 +361,14 @@
 
 // --- statusupdates.cpp: status of model servers ---
 
-/// Applies a new status of a model server here at once, and has it sent to all other hosts.
+/// Applies a new status of a model server here at once, and has it sent to all other hosts: at once
+/// to those with demand for a model or adapter that it adds or removes, later to the others.
 void broadcastStatusUpdate(Gateway &gateway, const InstanceId &server, const ServerStatus &status);
 
+/// Has the status of the servers that hold the model and adapter sent at once to a host whose
+/// callers wait for it. Either it was loaded just now, or an earlier update to that host was lost.
+void answerDemand(Gateway &gateway, const HostName &host, const ModelDemandKey &key);
+
 /// Sends the status updates that were broadcast since the last time. Of several for one server only
 /// the latest is sent.
 asio::awaitable<void> sendStatusUpdates(Gateway &gateway);
