--- a/src/process/statusupdates.cpp
+++ b/src/process/statusupdates.cpp
@@ -98,6 +98,12 @@
         : first->first == key;
 }
 
+bool hasDemandForAny(const Peer &peer, const std::vector<ModelDemandKey> &keys)
+{
+    return std::any_of(keys.begin(), keys.end(),
+                       [&](const ModelDemandKey &key) { return hasDemand(peer, key); });
+}
+
 } // namespace
 
 void applyStatusUpdates(Gateway &gateway, const wire::BeatT &heartbeat)
@@ -116,8 +122,7 @@
     if (known != gateway.m_serverTable.m_servers.end()) {
         const auto changed = changedKeys(known->second, status);
         for (const auto &[host, peer] : gateway.m_peers) {
-            if (std::any_of(changed.begin(), changed.end(),
-                            [&](const ModelDemandKey &key) { return hasDemand(peer, key); }))
+            if (hasDemandForAny(peer, changed))
                 updates.m_urgent[host][server] = status;
         }
     }
--- a/tests/unit/hosttraffic.cpp
+++ b/tests/unit/hosttraffic.cpp
@@ -236,7 +236,8 @@
             holder.advance();
             const double drawn = std::uniform_real_distribution<double>(0, 1)(random);
             if (drawn < updatesPerSecond * static_cast<double>(step.m_count) / 1'000) {
-                auto &[id, status] = *std::next(statuses.begin(), random() % servers);
+                auto &[id, status]
+                    = *std::next(statuses.begin(), static_cast<int>(random() % servers));
                 status.m_sequence += 1;
                 status.m_models[random() % 3].m_name = {drawChangedModel(random)};
                 broadcastStatusUpdate(gateway, id, status);
