--- a/src/gateway.h
+++ b/src/gateway.h
@@ -237,6 +237,22 @@
 // 3. Requests
 // ---------------------------------------------------------------------------------------------
 
+/// A part of a prompt that requests may share, by the id that callers give it.
+struct PromptPart
+{
+    std::uint64_t m_id = 0;
+
+    auto operator<=>(const PromptPart &) const = default;
+};
+
+/// The id in hexadecimal, without leading zeros.
+std::string toText(PromptPart part);
+
+/// The first few ids, separated by commas, with "..." for the others; for the log.
+std::string toText(const std::vector<PromptPart> &parts);
+
+constexpr std::size_t maxPromptParts = 512; // of one request; further ones aren't looked at
+
 /// Metadata of a caller's request, from its header fields.
 struct RequestMetadata
 {
@@ -244,7 +260,8 @@
     ModelName m_model;          // empty: request to a plain service
     AdapterName m_adapter;      // empty: the model without an adapter
     std::string m_sharedPrompt; // names prompt parts shared with other requests; empty: none
-    std::optional<Millis> m_timeAllowed; // ms that the caller waits; empty: not stated
+    std::vector<PromptPart> m_sharedParts; // the same parts in order, each once
+    std::optional<Millis> m_timeAllowed;   // ms that the caller waits; empty: not stated
 };
 
 /// Metadata that the gateway adds to a forwarded request.
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -94,6 +94,24 @@
 
 } // namespace
 
+std::string toText(PromptPart part)
+{
+    const std::string digits = toHex(part.m_id);
+    return digits.substr(std::min(digits.find_first_not_of('0'), digits.size() - 1));
+}
+
+std::string toText(const std::vector<PromptPart> &parts)
+{
+    constexpr std::size_t shownParts = 6;
+    std::string text;
+    for (std::size_t number = 0; number < parts.size(); ++number) {
+        if (number == shownParts)
+            return text + ",...";
+        text += (number > 0 ? "," : "") + toText(parts[number]);
+    }
+    return text;
+}
+
 ServerChoice chooseServer(const ServerTable &servers, const ChoiceInput &input, Millis time)
 {
     ServerChoice choice;
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -124,6 +124,8 @@
 void recordEvent(Relay &relay)
 {
     const Millis time = now(*relay.m_gateway);
+    if (!relay.m_answer.m_firstEventAt)
+        relay.m_answer.m_firstEventAt = time;
     if (relay.m_firstEvent.m_count == 0) {
         relay.m_firstEvent = std::max(time - relay.m_arrived, Millis{1});
         observe(relay.m_gateway->m_metrics, LatencyKind::FirstToken, relay.m_firstEvent);
@@ -175,6 +177,13 @@
     co_return SendResult{};
 }
 
+/// Time from the first event of the server to now, in ms; empty if there was no event.
+std::string streamedText(const Relay &relay)
+{
+    const auto first = relay.m_answer.m_firstEventAt;
+    return first ? std::to_string((now(*relay.m_gateway) - *first).m_count) : std::string();
+}
+
 /// Makes the request that is sent to the server.
 HttpRequest requestFor(const Relay &relay, const InstanceId &id)
 {
@@ -206,6 +215,7 @@
     auto head = co_await readHead(*connection, headTimeout);
     if (!ok(head))
         co_return recordSendFailure(relay, id, std::get<Failure>(head));
+    relay.m_answer.m_headReceived = true;
     relay.m_framing = bodyFramingOf(*connection);
     const HttpHead &got = std::get<HttpHead>(head);
     const AnswerMetadata metadata = gateway.m_protocol->readAnswer(got);
@@ -277,6 +287,7 @@
     const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
     relay.m_server = connection.get();
     relay.m_sends += 1;
+    relay.m_answer = {};
     relay.m_sendDelay = now(gateway) - relay.m_chosenAt;
     SendResult result;
     const HttpRequest request = requestFor(relay, id);
@@ -296,7 +307,10 @@
                   {"run",
                    toText(result.m_outcome == SendOutcome::Failed ? RunState::Unknown
                                                                   : RunState::NotRun)},
-                  {"why", result.m_failure.m_detail}});
+                  {"why", result.m_failure.m_detail},
+                  {"head", relay.m_answer.m_headReceived ? "yes" : "no"},
+                  {"streamed_ms", streamedText(relay)},
+                  {"parts", toText(relay.m_metadata.m_sharedParts)}});
     co_return result;
 }
 
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -60,6 +60,7 @@
              {{"id", relay.m_metadata.m_id},
               {"route", relay.m_route ? relay.m_route->m_name : ""},
               {"model", adapterKey(relay.m_metadata.m_model, relay.m_metadata.m_adapter)},
+              {"parts", toText(relay.m_metadata.m_sharedParts)},
               {"outcome", outcome},
               {"status", std::to_string(status)},
               {"why", failure.m_detail},
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -10,6 +10,13 @@
 constexpr Millis defaultRetryAfter = {1'000};
 constexpr Millis shortRetryAfter = {300};
 
+/// How far the answer of the server got that the request was sent to last.
+struct AnswerProgress
+{
+    bool m_headReceived = false;
+    std::optional<Millis> m_firstEventAt; // when its first complete event arrived; empty: none yet
+};
+
 /// State of one request while this host handles it.
 struct Relay
 {
@@ -40,6 +47,7 @@
     bool m_headSent = false;  // the caller has received the head of an event stream
     EventScanner m_eventScanner;
     std::optional<BodyFraming> m_framing; // of the last server's answer; empty: no head arrived
+    AnswerProgress m_answer;
     WakeableTimer *m_wakeTimer = nullptr; // set while the request waits for its model
     HttpConnection *m_server = nullptr;   // set while a server handles the request
     /// Error answer of a server. It is passed on to the caller if no retry succeeds.
