--- a/src/apricot.h
+++ b/src/apricot.h
@@ -185,6 +185,7 @@
     Stopping,
     Conflict,
     Internal,
+    PartQuarantined,
 };
 
 /// Whether a backend server ran the request, as far as this host knows. NotRun is a guarantee: it
@@ -218,6 +219,7 @@
     std::string m_detail;              // message for people; may be empty
     RunState m_run = RunState::NotRun; // whether a backend server ran the request
     Millis m_retryAfter;               // valid if the kind's response has Retry-After
+    bool m_connectionEnded = false;    // the other side closed or reset the connection
 };
 
 /// Makes a failure with the default run state of its kind.
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -197,6 +197,14 @@
     session->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+/// Whether the error says that the other side closed or reset the connection.
+bool endedByPeer(const boost::system::error_code &error)
+{
+    return error == asio::error::eof || error == asio::error::connection_reset
+        || error == asio::error::connection_aborted || error == asio::error::broken_pipe
+        || error == http::error::end_of_stream || error == http::error::partial_message;
+}
+
 /// A failure of an exchange on an open connection.
 Failure connectionFailure(const boost::system::error_code &error, RunState run)
 {
@@ -204,6 +212,7 @@
     if (error == beast::error::timeout)
         failure = makeFailure(ErrorKind::DeadlinePassed, "the server did not respond in time");
     failure.m_run = run;
+    failure.m_connectionEnded = endedByPeer(error);
     return failure;
 }
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -236,7 +236,7 @@
         co_return;
     gateway.m_stopping = true;
     gateway.m_stopStartedAt = now(gateway);
-    logEvent("stopping", {{"in_flight", std::to_string(gateway.m_inFlight)}});
+    logEvent("stopping", {{"in_flight", std::to_string(gateway.m_relays.size())}});
     broadcastHeartbeat(gateway);
     begin(gateway, "release", releaseLease(gateway));
     begin(gateway, "unregister", unregisterHost(gateway));
@@ -244,12 +244,12 @@
         = gateway.m_stopStartedAt + gateway.m_settings.m_addressLifetime * addressLifetimesOnStop;
     wakeWaiting(gateway); // requests that wait for a model may have to end their wait earlier now
     while (now(gateway) < stopDeadline(gateway)) {
-        const bool idle = gateway.m_inFlight == 0 && gateway.m_lease.m_fencingToken == 0;
+        const bool idle = gateway.m_relays.empty() && gateway.m_lease.m_fencingToken == 0;
         if (now(gateway) >= noNewCallersAt && idle)
             break;
         co_await pauseFor(gateway, stopPollInterval);
     }
-    logEvent("stopped", {{"in_flight", std::to_string(gateway.m_inFlight)}});
+    logEvent("stopped", {{"in_flight", std::to_string(gateway.m_relays.size())}});
     gateway.m_io.stop();
 }
 
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -6,6 +6,7 @@
 
 #include "gateway.h"
 #include "process/metrics.h"
+#include "quarantine.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <list>
@@ -144,6 +145,25 @@
     std::map<HostName, std::map<InstanceId, ServerStatus>> m_urgent; // by receiver
 };
 
+/// A request whose server ended its connection and may have crashed.
+struct PossibleCause
+{
+    CrashSuspect m_suspect;
+    bool m_answered
+        = false; // the answer was complete: the part was served unless the server crashed
+};
+
+/// What hosts tell each other of crashes, and crashes that are not yet certain.
+struct CrashNews
+{
+    std::map<InstanceId, std::vector<PossibleCause>> m_uncertain; // servers that may have crashed
+    double m_sendBytes = 0; // that reports to other hosts may still take; grows with time
+    Millis m_sendBytesAt;   // when that was calculated
+    PromptPart m_lastSent;  // last quarantine state sent in rotation
+};
+
+struct Relay; // see request/relay.h
+
 /// The holder's last request for an extension of its lease, sent to all other hosts, and repeated
 /// to those that haven't granted it. Valid if m_number is above 0.
 struct ExtensionRequest
@@ -219,9 +239,11 @@
     std::shared_ptr<TcpListener> m_directory;
     std::shared_ptr<TcpListener> m_ready;
     std::shared_ptr<TcpListener> m_metricsPort;
-    int m_inFlight = 0;      // callers' requests in progress
-    bool m_stopping = false; // a planned stop has begun
-    Millis m_stopStartedAt;  // when the planned stop began; valid if m_stopping
+    Quarantine m_quarantine; // prompt parts that crash servers
+    CrashNews m_crashNews;
+    std::set<Relay *> m_relays; // callers' requests in progress
+    bool m_stopping = false;    // a planned stop has begun
+    Millis m_stopStartedAt;     // when the planned stop began; valid if m_stopping
 };
 
 std::unique_ptr<Gateway> makeGateway(const GatewaySettings &settings, std::string settingsPath,
@@ -279,6 +301,10 @@
 /// Handles one request of a caller, up to the end of its answer.
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange);
 
+/// Ends the exchanges with servers, and the waits for a model, of the requests with the part,
+/// unless their answers have begun to stream.
+void endRequestsWith(Gateway &gateway, PromptPart part);
+
 /// Wakes all requests that wait for a model, so that they look for a server again.
 void wakeWaiting(Gateway &gateway);
 
@@ -382,6 +408,24 @@
 /// the latest is sent.
 asio::awaitable<void> sendStatusUpdates(Gateway &gateway);
 
+// --- crashreports.cpp: crashes of model servers, and the prompt parts that cause them ---
+
+/// To be called when a server ended its connection before, or at, the end of an answer. Finds out
+/// whether the server crashed; if so, reports the request to all hosts as a possible cause.
+void reportPossibleCrash(Gateway &gateway, const InstanceId &server, PossibleCause cause);
+
+/// Records that a server survived the beginning of an answer to a request with these parts, and
+/// tells other hosts if one of them is suspected.
+void recordServedParts(Gateway &gateway, const std::vector<PromptPart> &parts);
+
+/// Why a request with these parts must not be sent: one of them is in quarantine. Empty: it may be
+/// sent, possibly as a trial.
+std::optional<Failure> quarantineRefusal(Gateway &gateway, const std::vector<PromptPart> &parts);
+
+/// As above, for a request that is sent now if the result is empty: counts it as a trial of those
+/// of its parts that are in quarantine.
+std::optional<Failure> admitToServer(Gateway &gateway, const std::vector<PromptPart> &parts);
+
 // --- leasekeeper.cpp: which host may send orders ---
 
 /// Takes the lease when it is free, and renews it while this host holds it.
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -23,6 +23,12 @@
 /// Takes over the demand of a host's callers, if the heartbeat contains it.
 void applyDemandReport(Gateway &gateway, Peer &peer, const wire::BeatT &heartbeat);
 
+/// Adds states of prompt parts in quarantine, those that changed last and others in rotation.
+void addQuarantineStates(Gateway &gateway, wire::BeatT &heartbeat);
+
+/// Takes over what the heartbeat contains of crashes, parts that were served, and quarantine.
+void applyCrashNews(Gateway &gateway, const wire::BeatT &heartbeat);
+
 /// Applies the status updates of model servers in the heartbeat.
 void applyStatusUpdates(Gateway &gateway, const wire::BeatT &heartbeat);
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -165,6 +165,7 @@
     catchUp(gateway, heartbeat.routes, heartbeat.servers_digest, heartbeat.servers_revision);
     applyDemandReport(gateway, peer, heartbeat);
     applyStatusUpdates(gateway, heartbeat);
+    applyCrashNews(gateway, heartbeat);
 }
 
 } // namespace
@@ -285,7 +286,9 @@
 {
     std::size_t nextPeer = gateway.m_random(); // random, so that hosts start with different peers
     while (true) {
-        const std::string bytes = encodeHeartbeat(makeHeartbeat(gateway));
+        wire::BeatT heartbeat = makeHeartbeat(gateway);
+        addQuarantineStates(gateway, heartbeat);
+        const std::string bytes = encodeHeartbeat(heartbeat);
         const std::size_t peers = gateway.m_peers.size();
         const std::size_t targets = std::min<std::size_t>(peers, heartbeatFanout);
         for (std::size_t sent = 0; sent < targets; ++sent) {
--- a/src/process/looplag.cpp
+++ b/src/process/looplag.cpp
@@ -24,7 +24,7 @@
                    {{"delay_ms", std::to_string(load.m_longestDelay.m_count)},
                     {"plans_ms", std::to_string(load.m_planTime.m_count)},
                     {"period_ms", std::to_string(period.m_count)},
-                    {"in_flight", std::to_string(gateway.m_inFlight)},
+                    {"in_flight", std::to_string(gateway.m_relays.size())},
                     {"holder", holdsLease(gateway) ? "yes" : "no"}});
     load = {};
     load.m_since = time;
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -10,9 +11,11 @@
 namespace apricot {
 
 using prometheus::BuildCounter;
+using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
 using prometheus::Counter;
 using prometheus::Family;
+using prometheus::Gauge;
 using prometheus::Histogram;
 using prometheus::Registry;
 
@@ -29,6 +32,8 @@
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
+    Counter *m_serverCrashes = nullptr;
+    Gauge *m_quarantinedParts = nullptr;
     Counter *m_peerBytesSent = nullptr;
     Counter *m_peerBytesReceived = nullptr;
 };
@@ -93,6 +98,14 @@
     made->m_forwards = makeCounter(registry, "apricot_forwards_total", "Requests sent to a home");
     made->m_idle = makeCounter(registry, "apricot_idle_accelerator_seconds_total",
                                "Time that loaded models of owned cells had no request");
+    made->m_serverCrashes
+        = makeCounter(registry, "apricot_server_crashes_total",
+                      "Crashes of model servers with a request here that may be the cause");
+    made->m_quarantinedParts = &BuildGauge()
+                                    .Name("apricot_quarantined_parts")
+                                    .Help("Prompt parts that this host refuses")
+                                    .Register(registry)
+                                    .Add({});
     return {made};
 }
 
@@ -132,6 +145,16 @@
     metrics.m_registry->m_forwards->Increment();
 }
 
+void countServerCrash(Metrics &metrics)
+{
+    metrics.m_registry->m_serverCrashes->Increment();
+}
+
+void setQuarantinedParts(Metrics &metrics, std::size_t count)
+{
+    metrics.m_registry->m_quarantinedParts->Set(static_cast<double>(count));
+}
+
 void observe(Metrics &metrics, LatencyKind kind, Millis time)
 {
     metrics.m_registry->m_latencies.at(static_cast<std::size_t>(kind))
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -44,6 +44,12 @@
 /// Counts bytes of messages sent to other hosts, or received from them.
 void countPeerBytes(Metrics &metrics, bool sent, std::size_t bytes);
 void countForward(Metrics &metrics);
+
+/// Counts the crash of a model server with a request of this host that may have caused it.
+void countServerCrash(Metrics &metrics);
+
+/// Sets the number of prompt parts in quarantine, as this host knows it.
+void setQuarantinedParts(Metrics &metrics, std::size_t count);
 void observe(Metrics &metrics, LatencyKind kind, Millis time);
 
 /// Adds time during which a loaded slot occupied an accelerator without a request.
--- /dev/null
+++ b/src/quarantine.h
@@ -0,0 +1,175 @@
+// Quarantine of prompt parts that crash model servers.
+//
+// A part of a prompt may crash each server that begins to answer a request with it. Hosts see only
+// that the connections to a server end, for all requests there, sound ones included. Each host
+// reports to all others which of its requests a crash may be due to. A part is blamed once it has
+// been suspected in several crashes, with different requests, and no request with it was served
+// meanwhile. Hosts refuse requests with a blamed part; a few trials, minutes apart, find out
+// whether it has become sound.
+//
+// What every host knows is the same, up to messages on their way; there is no host that decides for
+// the others. All state is in memory and bounded. It is lost if all hosts stop at the same time.
+//
+// Index
+//   1. Crashes     what hosts report about a server that crashed
+//   2. Suspicion   which part is to blame
+//   3. Quarantine  parts that are refused, trials, exchange between hosts
+//
+// Times are Millis on the machine's monotonic clock. The functions do no I/O.
+#pragma once
+
+#include "gateway.h"
+
+namespace apricot {
+
+// ---------------------------------------------------------------------------------------------
+// 1. Crashes
+// ---------------------------------------------------------------------------------------------
+
+/// How far the answer to a request was when its server crashed. Later values are more suspect.
+enum class AnswerStage : std::uint8_t {
+    NotBegun,  // no response head had arrived
+    Streaming, // the first event had arrived less than survivalTime before
+    Beginning, // a response head had arrived, but no event
+};
+
+/// A server that has streamed an answer for this long has survived its beginning.
+constexpr Millis survivalTime = {400};
+
+/// A request that a crash may be due to.
+struct CrashSuspect
+{
+    std::uint64_t m_request = 0; // hash of its id
+    AnswerStage m_stage = AnswerStage::NotBegun;
+    std::vector<PromptPart> m_parts; // shared parts of its prompt, in order
+};
+
+/// One host's report of a crash. Several hosts may report the same one.
+struct CrashReport
+{
+    std::uint64_t m_crash = 0; // hash of the server's id and start time
+    Millis m_at;               // when the connections ended
+    std::vector<CrashSuspect> m_suspects;
+};
+
+constexpr std::size_t maxSuspects = 32; // in one report; those most suspect come first
+
+/// Identifies the crash of one process of a server.
+std::uint64_t crashId(const InstanceId &server, std::int64_t startUnixMs);
+
+// ---------------------------------------------------------------------------------------------
+// 2. Suspicion
+// ---------------------------------------------------------------------------------------------
+
+/// One crash in which a part was suspected.
+struct Appearance
+{
+    std::uint64_t m_crash = 0;
+    std::uint64_t m_request = 0;
+    Millis m_at;
+    AnswerStage m_stage = AnswerStage::NotBegun;
+    std::size_t m_position = 0; // of the part in the prompt
+};
+
+/// Crashes at nearly the same time have a common cause, such as an outage of a data centre: they
+/// count as one.
+constexpr Millis sameCauseTime = {100};
+
+/// Crashes with which a part is blamed, if it was never served before, and if it was.
+constexpr int crashesToBlame = 3;
+constexpr int crashesToBlameServed = 4;
+
+/// Wait from the last crash to the verdict, so that reports of all hosts arrive before it.
+constexpr Millis verdictDelay = {30};
+
+constexpr std::size_t maxAppearances = 8;        // of one part
+constexpr std::size_t maxSuspectParts = 4'096;   // the longest not suspected is dropped
+constexpr std::size_t maxKnownCrashes = 256;     // the oldest is dropped
+constexpr std::size_t servedPartsToKeep = 4'096; // of each of the two generations
+
+struct KnownCrash
+{
+    std::uint64_t m_id = 0;
+    /// The answer to a suspect was beginning: suspects whose answers had not begun don't count.
+    bool m_answerBeginning = false;
+    std::optional<PromptPart> m_cause; // a quarantined part that a suspect had
+};
+
+/// Parts that some request was served with. Bounded: of two generations the older one is dropped
+/// when the newer one is full.
+struct ServedParts
+{
+    std::set<PromptPart> m_newer;
+    std::set<PromptPart> m_older;
+};
+
+bool wasServed(const ServedParts &served, PromptPart part);
+
+// ---------------------------------------------------------------------------------------------
+// 3. Quarantine
+// ---------------------------------------------------------------------------------------------
+
+/// State of a part that is or was in quarantine. Of two states of one part that hosts have, the one
+/// with the higher generation holds, then the one with more trials.
+struct QuarantineState
+{
+    std::uint32_t m_generation = 0; // odd: in quarantine; even: released
+    int m_trials = 0;               // requests let through to find out whether it became sound
+    Millis m_changedAt;             // of either
+};
+
+constexpr int maxTrials = 3;
+/// From the last change to the next trial, by the number of trials so far.
+constexpr Millis trialDelays[maxTrials] = {{300'000}, {1'800'000}, {7'200'000}};
+/// Hosts try at different times, by their rank, so that normally one of them does.
+constexpr Millis trialStagger = {1'000};
+/// States older than this are dropped.
+constexpr Millis quarantineLifetime = {24LL * 3'600'000};
+/// Limits what callers can make hosts refuse; the state that changed longest ago is dropped.
+constexpr std::size_t maxQuarantineStates = 256;
+
+/// Everything a host knows of crashes and their causes.
+struct Quarantine
+{
+    std::deque<KnownCrash> m_crashes;                          // oldest first
+    std::map<PromptPart, std::vector<Appearance>> m_suspicion; // oldest appearance first
+    std::set<PromptPart> m_candidates; // with enough crashes; verdict after verdictDelay
+    ServedParts m_served;
+    std::map<PromptPart, QuarantineState> m_states;
+};
+
+/// Takes over a report. Reports may arrive late, repeatedly, and in any order.
+void applyCrashReport(Quarantine &quarantine, const CrashReport &report);
+
+/// Puts the parts to blame into quarantine and returns them. Of several parts that the same crashes
+/// can be due to, the one is blamed that was never served, then the one with more crashes, with
+/// answers nearest to their beginning, and last in the prompt. To be called often.
+std::vector<PromptPart> passVerdicts(Quarantine &quarantine, Millis time);
+
+/// Records that a server survived the beginning of an answer to a request with the part. Ends the
+/// suspicion and the quarantine of the part. Returns true if other hosts have to know it: the part
+/// was suspected or in quarantine.
+bool recordServed(Quarantine &quarantine, PromptPart part, Millis time);
+
+/// The first part of a request that is in quarantine; empty: none.
+std::optional<PromptPart> findQuarantined(const Quarantine &quarantine,
+                                          const std::vector<PromptPart> &parts);
+
+/// Whether a host of that rank may let a request through, to find out whether the part has become
+/// sound.
+bool isTrialDue(const QuarantineState &state, int rank, Millis time);
+
+/// Time until a host lets the next request through at the earliest, or until the state is dropped.
+Millis timeToTrial(const QuarantineState &state, Millis time);
+
+/// Counts a trial. Returns the new state, which other hosts have to know at once.
+QuarantineState recordTrial(Quarantine &quarantine, PromptPart part, Millis time);
+
+/// Takes over the state that another host has, if it is the later one. Returns true if the part is
+/// in quarantine now and wasn't before.
+bool mergeState(Quarantine &quarantine, PromptPart part, const QuarantineState &state, Millis time);
+
+/// Number of parts in quarantine.
+std::size_t quarantinedCount(const Quarantine &quarantine);
+
+} // namespace apricot
--- a/src/request/errors.cpp
+++ b/src/request/errors.cpp
@@ -45,6 +45,8 @@
         {Stopping, "stopping", 503, true, NotRun, "this host is stopping"},
         {Conflict, "conflict", 409, false, NotRun, "another change was made first"},
         {Internal, "internal", 500, false, Unknown, "internal error"},
+        {PartQuarantined, "part_quarantined", 503, true, NotRun,
+         "requests with a part of this prompt crashed backend servers"},
     };
     return table;
 }
@@ -71,12 +73,12 @@
 
 Failure makeFailure(ErrorKind kind, std::string detail, Millis retryAfter)
 {
-    return {kind, std::move(detail), errorResponseFor(kind).m_run, retryAfter};
+    return {kind, std::move(detail), errorResponseFor(kind).m_run, retryAfter, false};
 }
 
 Failure makeFailure(ErrorKind kind, std::string detail, RunState run, Millis retryAfter)
 {
-    return {kind, std::move(detail), run, retryAfter};
+    return {kind, std::move(detail), run, retryAfter, false};
 }
 
 } // namespace apricot
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -89,11 +89,48 @@
         recordServerResult(*known, false, time);
 }
 
+/// Has it found out whether the server crashed when its connection ended. If so, the request may be
+/// why, unless the server had survived the beginning of the answer. `answered`: the answer was
+/// complete.
+void reportIfCrashed(Relay &relay, const InstanceId &id, bool answered)
+{
+    const AnswerProgress &answer = relay.m_answer;
+    const auto &parts = relay.m_metadata.m_sharedParts;
+    if (answer.m_survived || parts.empty())
+        return;
+    const AnswerStage stage = answer.m_firstEventAt ? AnswerStage::Streaming
+        : answer.m_headReceived                     ? AnswerStage::Beginning
+                                                    : AnswerStage::NotBegun;
+    reportPossibleCrash(*relay.m_gateway, id,
+                        {{stableHash(relay.m_metadata.m_id), stage, parts}, answered});
+}
+
+/// Records that the server survived the beginning of the answer.
+void recordSurvival(Relay &relay)
+{
+    if (std::exchange(relay.m_answer.m_survived, true))
+        return;
+    recordServedParts(*relay.m_gateway, relay.m_metadata.m_sharedParts);
+}
+
+/// Records the end of a complete answer. If only the end of the connection shows that it is
+/// complete, the server may have crashed instead.
+void recordAnswerEnd(Relay &relay, const InstanceId &id)
+{
+    if (relay.m_framing == BodyFraming::ConnectionEnd)
+        reportIfCrashed(relay, id, true);
+    else
+        recordSurvival(relay);
+}
+
 SendResult recordSendFailure(Relay &relay, const InstanceId &id, Failure failure)
 {
-    // A disconnect of the caller aborts the exchange, which isn't a failure of the server.
-    if (!callerDisconnected(relay))
-        recordResult(relay, id, false);
+    // An exchange that was ended on this side tells nothing of the server.
+    if (callerDisconnected(relay) || relay.m_endedByHost)
+        return {SendOutcome::Failed, std::move(failure)};
+    recordResult(relay, id, false);
+    if (failure.m_connectionEnded)
+        reportIfCrashed(relay, id, false);
     return {SendOutcome::Failed, std::move(failure)};
 }
 
@@ -111,6 +148,9 @@
             SendOutcome::Failed,
             makeFailure(ErrorKind::BackendBroken, "the server answered with an error")};
     }
+    const unsigned status = response.m_head.m_status;
+    if (status >= 200 && status < 300)
+        recordAnswerEnd(relay, id);
     const Millis took = now(*relay.m_gateway) - relay.m_arrived;
     observe(relay.m_gateway->m_metrics, LatencyKind::Whole, took);
     countAnswer(relay.m_gateway->m_metrics, ErrorKind::None);
@@ -126,6 +166,8 @@
     const Millis time = now(*relay.m_gateway);
     if (!relay.m_answer.m_firstEventAt)
         relay.m_answer.m_firstEventAt = time;
+    else if (time - *relay.m_answer.m_firstEventAt >= survivalTime)
+        recordSurvival(relay);
     if (relay.m_firstEvent.m_count == 0) {
         relay.m_firstEvent = std::max(time - relay.m_arrived, Millis{1});
         observe(relay.m_gateway->m_metrics, LatencyKind::FirstToken, relay.m_firstEvent);
@@ -166,10 +208,13 @@
         if (!co_await writeChunk(*relay.m_exchange, events))
             co_return SendResult{};
     }
-    if (!isStreamComplete(relay.m_eventScanner, bodyFramingOf(connection)))
-        co_return recordSendFailure(
-            relay, id, makeFailure(ErrorKind::BackendBroken, "the server broke the stream off"));
+    if (!isStreamComplete(relay.m_eventScanner, bodyFramingOf(connection))) {
+        Failure failure = makeFailure(ErrorKind::BackendBroken, "the server broke the stream off");
+        failure.m_connectionEnded = relay.m_framing == BodyFraming::ConnectionEnd;
+        co_return recordSendFailure(relay, id, std::move(failure));
+    }
     recordAnswer(relay, id, true);
+    recordAnswerEnd(relay, id);
     countAnswer(relay.m_gateway->m_metrics, ErrorKind::None);
     logCall(relay, "streamed", makeFailure(ErrorKind::None, id.m_text, RunState::Ran),
             head.m_status);
@@ -284,8 +329,11 @@
                              makeFailure(ErrorKind::DeadlineUnmeetable,
                                          "not enough time left before the deadline",
                                          shortRetryAfter)};
+    if (auto refusal = admitToServer(gateway, relay.m_metadata.m_sharedParts))
+        co_return SendResult{SendOutcome::NotSent, std::move(*refusal)};
     const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
     relay.m_server = connection.get();
+    relay.m_endedByHost = false;
     relay.m_sends += 1;
     relay.m_answer = {};
     relay.m_sendDelay = now(gateway) - relay.m_chosenAt;
--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -109,6 +109,8 @@
         if (tooLateBeforeStop(relay))
             co_return makeFailure(ErrorKind::Stopping, "the answer would not end before the stop",
                                   retryElsewhereAfter);
+        if (const auto refusal = quarantineRefusal(gateway, relay.m_metadata.m_sharedParts))
+            co_return *refusal;
         const Millis waitEnd = modelWaitEnd(relay);
         relay.m_chosenAt = now(gateway);
         relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -95,6 +95,8 @@
         = matchRoute(*relay.m_routes, fieldOf(request.m_fields, "Host"), request.m_target);
     if (!relay.m_route)
         co_return co_await refuse(relay, makeFailure(ErrorKind::UnknownRoute, request.m_target));
+    if (const auto refusal = quarantineRefusal(gateway, relay.m_metadata.m_sharedParts))
+        co_return co_await refuse(relay, *refusal);
     relay.m_service = pickService(*relay.m_route, relay.m_metadata.m_id);
     relay.m_deadline = relay.m_arrived + timeAllowedFor(relay);
     relay.m_fields = request.m_fields;
@@ -120,7 +122,7 @@
     Relay relay(gateway);
     relay.m_exchange = &exchange;
     relay.m_arrived = now(gateway);
-    gateway.m_inFlight += 1;
+    gateway.m_relays.insert(&relay);
     exchange.m_closeAfter = gateway.m_stopping;
     exchange.m_onCallerDisconnect = [&relay] {
         if (relay.m_wakeTimer)
@@ -130,7 +132,21 @@
     };
     co_await relayOne(relay);
     exchange.m_onCallerDisconnect = nullptr;
-    gateway.m_inFlight -= 1;
+    gateway.m_relays.erase(&relay);
+}
+
+void endRequestsWith(Gateway &gateway, PromptPart part)
+{
+    for (Relay *relay : gateway.m_relays) {
+        const auto &parts = relay->m_metadata.m_sharedParts;
+        if (relay->m_answer.m_firstEventAt || std::count(parts.begin(), parts.end(), part) == 0)
+            continue;
+        relay->m_endedByHost = true;
+        if (relay->m_wakeTimer)
+            wake(*relay->m_wakeTimer);
+        if (relay->m_server)
+            closeHttpConnection(*relay->m_server);
+    }
 }
 
 void wakeWaiting(Gateway &gateway)
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -15,6 +15,7 @@
 {
     bool m_headReceived = false;
     std::optional<Millis> m_firstEventAt; // when its first complete event arrived; empty: none yet
+    bool m_survived = false; // the server streamed on for survivalTime, or completed the answer
 };
 
 /// State of one request while this host handles it.
@@ -50,6 +51,8 @@
     AnswerProgress m_answer;
     WakeableTimer *m_wakeTimer = nullptr; // set while the request waits for its model
     HttpConnection *m_server = nullptr;   // set while a server handles the request
+    bool m_endedByHost
+        = false; // this host closed that connection, as it refuses a part of the prompt
     /// Error answer of a server. It is passed on to the caller if no retry succeeds.
     std::optional<HttpResponse> m_lastFailedAnswer;
     HeldBytes m_heldBytes; // of all answers read completely for this request
