--- a/src/gateway.h
+++ b/src/gateway.h
@@ -283,6 +283,8 @@
     bool m_contentEncoded = false; // re-encoded on the way: not the bytes that the server produced
     bool m_events = false;         // the body is a stream of server-sent events
     ServerLoad m_load;
+    std::optional<double>
+        m_limit; // requests a second that the server takes from all hosts together
 };
 
 /// Limits retries to a fixed number plus a share of the requests within a sliding window.
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -268,6 +268,7 @@
         co_return recordSendFailure(
             relay, id,
             makeFailure(ErrorKind::CrossedAnswer, "the server answers request " + metadata.m_id));
+    relay.m_answer.m_limit = metadata.m_limit;
     recordLoad(relay, id, metadata.m_load);
     const bool success = got.m_status >= 200 && got.m_status < 300;
     if (success && (!metadata.m_serverStamped || metadata.m_contentEncoded))
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -49,6 +49,12 @@
     return std::to_string(std::lround(load * 100));
 }
 
+/// The limit that the last server named, in requests a second; empty if it named none.
+std::string limitText(const Relay &relay)
+{
+    return relay.m_answer.m_limit ? std::to_string(*relay.m_answer.m_limit) : std::string();
+}
+
 } // namespace
 
 void logCall(const Relay &relay, const char *outcome, const Failure &failure, unsigned status)
@@ -75,6 +81,7 @@
               {"waited_ms", std::to_string(relay.m_modelWaitTime.m_count)},
               {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
               {"framing", relay.m_framing ? toText(*relay.m_framing) : ""},
+              {"server_limit", limitText(relay)},
               {"partial_bytes", std::to_string(relay.m_eventScanner.m_partialEvent.size())},
               {"pause_ms", std::to_string(relay.m_longestEventGap.m_count)},
               {"took_ms", std::to_string(took.m_count)},
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -14,6 +14,7 @@
 struct AnswerProgress
 {
     bool m_headReceived = false;
+    std::optional<double> m_limit;        // requests a second that the server named as its limit
     std::optional<Millis> m_firstEventAt; // when its first complete event arrived; empty: none yet
     bool m_survived = false; // the server streamed on for survivalTime, or completed the answer
 };
