--- a/src/gateway.h
+++ b/src/gateway.h
@@ -191,6 +191,9 @@
     std::map<std::string, Millis> m_refusedUntil; // after a refusal: not chosen, by "model/adapter"
 };
 
+/// Identifies one process of a server: a hash of the server's id and the start time.
+std::uint64_t processId(const InstanceId &server, std::int64_t startUnixMs);
+
 /// All backend servers known to this host.
 struct ServerTable
 {
--- a/src/process/crashreports.cpp
+++ b/src/process/crashreports.cpp
@@ -16,8 +16,8 @@
 
 constexpr Millis verifyTimeout = {400}; // for the connection that shows whether a server lives
 /// Bytes that a host may send to all others together for reports and news of served parts.
-constexpr double newsBytesPerSecond = 6'500;
-constexpr double newsBurstBytes = 256'000;
+constexpr double newsBytesPerSecond = 4'000;
+constexpr double newsBurstBytes = 100'000;
 constexpr std::size_t statesPerHeartbeat = 4; // of quarantine
 constexpr std::size_t maxCrashesPerHeartbeat = 16;
 
@@ -138,7 +138,7 @@
     logReport(server, report);
     countServerCrash(gateway.m_metrics);
     applyCrashReport(gateway.m_quarantine, report);
-    wire::BeatT heartbeat = makeHeartbeat(gateway);
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.crashes.push_back(encodeReport(report, now(gateway)));
     sendNews(gateway, heartbeat);
 }
@@ -213,7 +213,7 @@
     if (causes.size() > 1)
         return; // a check is under way
     CrashReport report;
-    report.m_crash = crashId(server, known->second.m_server.m_serverStatus.m_startUnixMs);
+    report.m_crash = processId(server, known->second.m_server.m_serverStatus.m_startUnixMs);
     report.m_at = now(gateway);
     begin(gateway, "verify_crash",
           verifyCrash(gateway, server, known->second.m_server.m_endpoint, std::move(report)));
@@ -234,7 +234,7 @@
     if (heartbeat.served_parts.empty())
         return;
     auto served = std::move(heartbeat.served_parts);
-    heartbeat = makeHeartbeat(gateway);
+    heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.served_parts = std::move(served);
     sendNews(gateway, heartbeat);
 }
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -9,6 +9,10 @@
 
 /// Makes a heartbeat with this host's current state and none of the further parts.
 wire::BeatT makeHeartbeat(const Gateway &gateway);
+
+/// Makes a heartbeat that states only that this host is ready, for messages to many hosts.
+wire::BeatT makeBriefHeartbeat(const Gateway &gateway);
+
 std::string encodeHeartbeat(const wire::BeatT &heartbeat);
 
 void sendDatagram(Gateway &gateway, const Endpoint &endpoint, const std::string &bytes);
@@ -29,6 +33,9 @@
 /// Takes over what the heartbeat contains of crashes, parts that were served, and quarantine.
 void applyCrashNews(Gateway &gateway, const wire::BeatT &heartbeat);
 
+/// Sends a heartbeat to the next few hosts in turn. `nextPeer` counts the hosts that were sent to.
+void sendPeriodicHeartbeat(Gateway &gateway, std::size_t &nextPeer);
+
 /// Applies the status updates of model servers in the heartbeat.
 void applyStatusUpdates(Gateway &gateway, const wire::BeatT &heartbeat);
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -144,6 +144,10 @@
         return; // not in the register, or its entry hasn't arrived here yet
     }
     Peer &peer = found->second;
+    if (heartbeat.brief) {
+        applyCrashNews(gateway, heartbeat);
+        return;
+    }
     const Millis time = now(gateway);
     if (peer.m_ready != heartbeat.ready)
         logEvent("host_readiness",
@@ -195,6 +199,15 @@
     return heartbeat;
 }
 
+wire::BeatT makeBriefHeartbeat(const Gateway &gateway)
+{
+    wire::BeatT heartbeat;
+    heartbeat.host = gateway.m_settings.m_host.m_text;
+    heartbeat.ready = isReady(gateway);
+    heartbeat.brief = true;
+    return heartbeat;
+}
+
 void sendDatagram(Gateway &gateway, const Endpoint &endpoint, const std::string &bytes)
 {
     boost::system::error_code error;
@@ -282,20 +295,25 @@
     return rank;
 }
 
+void sendPeriodicHeartbeat(Gateway &gateway, std::size_t &nextPeer)
+{
+    wire::BeatT heartbeat = makeHeartbeat(gateway);
+    addQuarantineStates(gateway, heartbeat);
+    const std::string bytes = encodeHeartbeat(heartbeat);
+    const std::size_t peers = gateway.m_peers.size();
+    const std::size_t targets = std::min<std::size_t>(peers, heartbeatFanout);
+    for (std::size_t sent = 0; sent < targets; ++sent) {
+        const auto peer
+            = std::next(gateway.m_peers.begin(), static_cast<std::ptrdiff_t>(nextPeer++ % peers));
+        sendDatagram(gateway, peer->second.m_entry.m_peer, bytes);
+    }
+}
+
 asio::awaitable<void> sendHeartbeats(Gateway &gateway)
 {
     std::size_t nextPeer = gateway.m_random(); // random, so that hosts start with different peers
     while (true) {
-        wire::BeatT heartbeat = makeHeartbeat(gateway);
-        addQuarantineStates(gateway, heartbeat);
-        const std::string bytes = encodeHeartbeat(heartbeat);
-        const std::size_t peers = gateway.m_peers.size();
-        const std::size_t targets = std::min<std::size_t>(peers, heartbeatFanout);
-        for (std::size_t sent = 0; sent < targets; ++sent) {
-            const auto peer = std::next(gateway.m_peers.begin(),
-                                        static_cast<std::ptrdiff_t>(nextPeer++ % peers));
-            sendDatagram(gateway, peer->second.m_entry.m_peer, bytes);
-        }
+        sendPeriodicHeartbeat(gateway, nextPeer);
         dropExpiredMissing(gateway.m_serverTable, now(gateway));
         std::erase_if(gateway.m_modelDemands,
                       [&](const auto &demand) { return isIdle(demand.second, now(gateway)); });
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -88,6 +88,11 @@
     });
 }
 
+std::uint64_t processId(const InstanceId &server, std::int64_t startUnixMs)
+{
+    return stableHash(server.m_text + "/" + std::to_string(startUnixMs));
+}
+
 std::uint64_t digestOf(const ServerTable &servers)
 {
     std::string text;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -47,16 +47,13 @@
 /// One host's report of a crash. Several hosts may report the same one.
 struct CrashReport
 {
-    std::uint64_t m_crash = 0; // hash of the server's id and start time
+    std::uint64_t m_crash = 0; // see processId()
     Millis m_at;               // when the connections ended
     std::vector<CrashSuspect> m_suspects;
 };
 
 constexpr std::size_t maxSuspects = 32; // in one report; those most suspect come first
 
-/// Identifies the crash of one process of a server.
-std::uint64_t crashId(const InstanceId &server, std::int64_t startUnixMs);
-
 // ---------------------------------------------------------------------------------------------
 // 2. Suspicion
 // ---------------------------------------------------------------------------------------------
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -177,11 +177,6 @@
 
 } // namespace
 
-std::uint64_t crashId(const InstanceId &server, std::int64_t startUnixMs)
-{
-    return stableHash(server.m_text + "/" + std::to_string(startUnixMs));
-}
-
 bool wasServed(const ServedParts &served, PromptPart part)
 {
     return served.m_newer.contains(part) || served.m_older.contains(part);
--- /dev/null
+++ b/tests/unit/quarantine.cpp
@@ -0,0 +1,118 @@
+// Tests of the decisions on prompt parts that crash servers.
+#include "quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricot;
+
+namespace {
+
+constexpr PromptPart part = {0xbad};
+constexpr PromptPart other = {0xa1};
+
+CrashReport reportAt(std::uint64_t crash, Millis at, const std::vector<PromptPart> &parts)
+{
+    return {crash, at, {{crash, AnswerStage::Beginning, parts}}};
+}
+
+/// A part that was put into quarantine by three crashes, at 3 s.
+Quarantine quarantined()
+{
+    Quarantine quarantine;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash)
+        applyCrashReport(quarantine,
+                         reportAt(crash, Millis{1'000} * static_cast<int>(crash), {other, part}));
+    passVerdicts(quarantine, {3'100});
+    return quarantine;
+}
+
+} // namespace
+
+class QuarantineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuarantineTest);
+    CPPUNIT_TEST(onePartIsBlamedForCrashesThatItExplains);
+    CPPUNIT_TEST(reportsCountOnceInAnyOrder);
+    CPPUNIT_TEST(trialsAreFewAndReleaseASoundPart);
+    CPPUNIT_TEST(memoryOfCrashesIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a sound part that is refused because it was in the same prompts, and that a
+    /// part served before needs as few crashes as an unknown one.
+    void onePartIsBlamedForCrashesThatItExplains()
+    {
+        Quarantine quarantine = quarantined();
+        CPPUNIT_ASSERT(findQuarantined(quarantine, {other, part}) == part);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, quarantinedCount(quarantine));
+        Quarantine served;
+        recordServed(served, other, {0});
+        for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+            CPPUNIT_ASSERT(passVerdicts(served, {10'000}).empty());
+            applyCrashReport(served,
+                             reportAt(crash, Millis{1'000} * static_cast<int>(crash), {other}));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, passVerdicts(served, {10'000}).size());
+    }
+
+    /// Guards against news that count twice, late or in another order: one crash, one request and
+    /// crashes at the same moment count once, whatever the order of the reports.
+    void reportsCountOnceInAnyOrder()
+    {
+        Quarantine quarantine;
+        for (int times = 0; times < 5; ++times)
+            applyCrashReport(quarantine, reportAt(1, {1'000 + 500 * times}, {part}));
+        applyCrashReport(quarantine, reportAt(2, {1'050}, {part}));
+        CrashReport sameRequest = reportAt(3, {5'000}, {part});
+        sameRequest.m_suspects[0].m_request = 1;
+        applyCrashReport(quarantine, sameRequest);
+        applyCrashReport(quarantine, reportAt(4, {8'000}, {part}));
+        CPPUNIT_ASSERT(passVerdicts(quarantine, {9'000}).empty());
+        applyCrashReport(quarantine, reportAt(5, {100}, {part})); // the oldest arrives last
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, passVerdicts(quarantine, {9'000}).size());
+        CPPUNIT_ASSERT(!mergeState(quarantine, part, {1, 0, {9'000}}, {9'100}));
+    }
+
+    /// Guards against a part that is refused forever although it became sound, or that is tried so
+    /// often that it crashes servers again and again; also across hosts that have older states.
+    void trialsAreFewAndReleaseASoundPart()
+    {
+        Quarantine quarantine = quarantined();
+        Millis time = {3'100};
+        int trials = 0;
+        const auto state = [&] { return quarantine.m_states.at(part); };
+        for (; time < Millis{72'000'000}; time = time + Millis{1'000}) {
+            CPPUNIT_ASSERT(!isTrialDue(state(), 1, time) || isTrialDue(state(), 0, time));
+            if (isTrialDue(state(), 0, time)) {
+                recordTrial(quarantine, part, time);
+                ++trials;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(maxTrials, trials);
+        const QuarantineState before = state();
+        CPPUNIT_ASSERT(recordServed(quarantine, part, time));
+        CPPUNIT_ASSERT(!findQuarantined(quarantine, {part}));
+        CPPUNIT_ASSERT(!mergeState(quarantine, part, before, time));
+        CPPUNIT_ASSERT(!findQuarantined(quarantine, {part}));
+    }
+
+    /// Guards against memory that grows with crashes and random parts: an hour of ten crashes a
+    /// second, each with parts that no other has.
+    void memoryOfCrashesIsBounded()
+    {
+        Quarantine quarantine;
+        std::uint64_t next = 1;
+        for (Millis time; time < Millis{3'600'000}; time = time + Millis{100}) {
+            const std::uint64_t crash = next++;
+            applyCrashReport(quarantine, reportAt(crash, time, {{next++}, {next++}}));
+            recordServed(quarantine, {next++}, time);
+        }
+        CPPUNIT_ASSERT_EQUAL(maxSuspectParts, quarantine.m_suspicion.size());
+        CPPUNIT_ASSERT_EQUAL(maxKnownCrashes, quarantine.m_crashes.size());
+        CPPUNIT_ASSERT(quarantine.m_served.m_newer.size() <= servedPartsToKeep);
+        CPPUNIT_ASSERT(quarantine.m_served.m_older.size() <= servedPartsToKeep);
+        CPPUNIT_ASSERT(passVerdicts(quarantine, {3'700'000}).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
