--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -31,11 +31,19 @@
 constexpr double unloadCost = 350;            // ms, duration of an unload
 constexpr double infiniteCost = std::numeric_limits<double>::infinity(); // the step can't start now
 
-/// Model to evict from a server.
+/// A model that may be evicted from a server.
 struct Victim
 {
-    ModelName m_model; // empty: no model can be evicted
+    ModelName m_model;
     double m_cost = infiniteCost;
+    double m_memoryMb = 0; // that its eviction frees, with its adapters
+};
+
+/// Models whose eviction makes room for another one.
+struct Eviction
+{
+    ModelName m_first; // to evict now; empty: the memory is sufficient, or can't be made so
+    double m_cost = infiniteCost; // of all of them
 };
 
 /// A plan in progress.
@@ -43,8 +51,8 @@
 {
     const PlacementInput *m_input = nullptr;
     PlanIndex m_index;
-    std::vector<Victim> m_victims; // by server: the model whose eviction costs least
-    std::vector<bool> m_ordered;   // by server: it already has an order in this plan
+    std::vector<std::vector<Victim>> m_victims; // by server, the cheapest first
+    std::vector<bool> m_ordered;                // by server: it already has an order in this plan
     std::vector<EngineCommand> m_commands;
     bool m_storeLoadAllowed = false; // one more load from the weight store is within the rate limit
 };
@@ -119,10 +127,16 @@
     addOrder(planner, order, at);
 }
 
-bool fits(const Planner &planner, std::size_t at, const EngineModel &model)
+/// MB that the server lacks to load the model; 0 or less: it fits.
+double lackingMemory(const Planner &planner, std::size_t at, const EngineModel &model)
 {
     return planner.m_index.m_memoryUsed[at] + model.m_weightsMb
-        <= planner.m_input->m_limits->m_weightsMb;
+        - planner.m_input->m_limits->m_weightsMb;
+}
+
+bool fits(const Planner &planner, std::size_t at, const EngineModel &model)
+{
+    return lackingMemory(planner, at, model) <= 0;
 }
 
 /// Cost, in ms of waiting, of evicting a model from a server.
@@ -143,19 +157,71 @@
     return cost;
 }
 
-/// Returns the model whose eviction costs least. Recently loaded models are exempt, since the
-/// requests that wait for them may not have arrived at the server yet.
-Victim cheapestVictim(const Planner &planner, const PlanServer &server)
+/// Returns the models that may be evicted, the cheapest first. Recently loaded models are exempt,
+/// since the requests that wait for them may not have arrived at the server yet.
+std::vector<Victim> possibleVictims(const Planner &planner, const PlanServer &server)
 {
-    Victim victim;
+    std::vector<Victim> victims;
     for (const LoadedModel &loaded : server.m_serverStatus.m_models) {
         if (server.m_recentlyLoaded.contains(loaded.m_name))
             continue;
         const double cost = evictionCost(planner, server, loaded.m_name);
-        if (cost < victim.m_cost)
-            victim = {loaded.m_name, cost};
+        if (cost == infiniteCost)
+            continue;
+        const EngineModel *model = modelOf(planner, loaded.m_name);
+        const double adapters = static_cast<double>(loaded.m_adapters.size());
+        // The memory of a model that isn't published any more isn't known; the server counts as
+        // full.
+        const double memory = model ? model->m_weightsMb + model->m_adapterMb * adapters
+                                    : planner.m_input->m_limits->m_weightsMb;
+        victims.push_back({loaded.m_name, cost, memory});
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const Victim &a, const Victim &b) { return a.m_cost < b.m_cost; });
+    return victims;
+}
+
+/// Returns the cheapest eviction of one model that frees so many MB.
+Eviction evictionOfOne(const std::vector<Victim> &victims, double lackingMb)
+{
+    const auto found = std::find_if(victims.begin(), victims.end(), [&](const Victim &victim) {
+        return victim.m_memoryMb >= lackingMb;
+    });
+    return found == victims.end() ? Eviction() : Eviction{found->m_model, found->m_cost};
+}
+
+/// Returns the eviction of the cheapest models that together free so many MB.
+Eviction evictionOfSeveral(const std::vector<Victim> &victims, double lackingMb)
+{
+    double cost = 0;
+    double freed = 0;
+    for (const Victim &victim : victims) {
+        cost += victim.m_cost;
+        freed += victim.m_memoryMb;
+        if (freed >= lackingMb)
+            return {victims.front().m_model, cost};
     }
-    return victim;
+    return {};
+}
+
+Eviction cheapestEviction(const Planner &planner, std::size_t at, const EngineModel &model)
+{
+    const double lackingMb = lackingMemory(planner, at, model);
+    const Eviction one = evictionOfOne(planner.m_victims[at], lackingMb);
+    const Eviction several = evictionOfSeveral(planner.m_victims[at], lackingMb);
+    return one.m_cost <= several.m_cost ? one : several;
+}
+
+/// Orders the next unload that makes room for the model on the server.
+void makeRoom(Planner &planner, std::size_t at, const ModelName &victim, const ModelName &model,
+              const char *reason)
+{
+    EngineCommand order;
+    order.m_kind = CommandKind::Unload;
+    order.m_model = victim;
+    order.m_makeRoomFor = model;
+    order.m_reason = reason;
+    addOrder(planner, order, at);
 }
 
 /// A possible placement of a further replica of a model.
@@ -174,12 +240,14 @@
     double cost = static_cast<double>(duration.m_count);
     if (cost >= best.m_cost || !isFree(planner, at) || !server.m_pendingModel.m_text.empty())
         return;
-    const bool needsVictim = !fits(planner, at, model);
-    if (needsVictim)
-        cost += planner.m_victims[at].m_cost;
+    Eviction eviction;
+    if (!fits(planner, at, model)) {
+        eviction = cheapestEviction(planner, at, model);
+        cost += eviction.m_cost;
+    }
     if (cost >= best.m_cost || holdsModel(server.m_serverStatus, model.m_name, {}))
         return;
-    best = {at, needsVictim ? planner.m_victims[at].m_model : ModelName(), cost};
+    best = {at, eviction.m_first, cost};
 }
 
 ReplicaOption cheapestOption(const Planner &planner, const EngineModel &model,
@@ -216,15 +284,11 @@
         loadModel(planner, *option.m_server, model.m_name, reason);
         return;
     }
-    EngineCommand order;
-    order.m_kind = CommandKind::Unload;
-    order.m_model = option.m_victim;
-    order.m_makeRoomFor = model.m_name;
-    order.m_reason = reason;
-    addOrder(planner, order, *option.m_server);
+    makeRoom(planner, *option.m_server, option.m_victim, model.m_name, reason);
 }
 
-/// Continues swaps: where an unload has made room for a model, orders the load of that model.
+/// Continues swaps: where an unload has made room for a model, orders the load of that model, or
+/// the next unload if the room isn't enough yet.
 void finishSwaps(Planner &planner)
 {
     for (std::size_t at = 0; at < planner.m_input->m_servers.size(); ++at) {
@@ -236,8 +300,13 @@
             continue;
         const bool mayLoad
             = planner.m_storeLoadAllowed || hasLocalCopy(server.m_serverStatus, model->m_name);
-        if (fits(planner, at, *model) && mayLoad)
+        if (!fits(planner, at, *model)) {
+            const Eviction eviction = cheapestEviction(planner, at, *model);
+            if (!eviction.m_first.m_text.empty())
+                makeRoom(planner, at, eviction.m_first, model->m_name, "more_room");
+        } else if (mayLoad) {
             loadModel(planner, at, model->m_name, "room_made");
+        }
     }
 }
 
@@ -471,7 +540,7 @@
     planner.m_ordered.resize(input.m_servers.size(), false);
     planner.m_storeLoadAllowed = input.m_storeLoadAllowed;
     for (const PlanServer &server : input.m_servers)
-        planner.m_victims.push_back(cheapestVictim(planner, server));
+        planner.m_victims.push_back(possibleVictims(planner, server));
     return planner;
 }
 
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -33,6 +33,18 @@
     return limits;
 }
 
+/// As above, but of every two models the second one is of less than half the size: a server holds
+/// two large ones, or a large and two small ones.
+EngineLimits makeUnequalLimits(int models)
+{
+    constexpr double smallWeightsMb = 47;
+    EngineLimits limits = makeLimits(models);
+    limits.m_weightsMb = 240;
+    for (int number = 1; number < models; number += 2)
+        limits.m_models[{"m" + std::to_string(number)}].m_weightsMb = smallWeightsMb;
+    return limits;
+}
+
 /// A free server with the models in `models` loaded. It has these and the ones in `disk` on disk.
 PlanServer makeServer(const std::string &id, const std::vector<std::string> &models,
                       const std::vector<std::string> &disk)
@@ -138,10 +150,89 @@
     CPPUNIT_TEST(replicaCountFollowsTheRequestRate);
     CPPUNIT_TEST(noOrderWhileTheSequenceIsUnknown);
     CPPUNIT_TEST(rareModelsAreSwappedInWithinTheWaitLimit);
+    CPPUNIT_TEST(rareModelsOfTwoSizesAreSwappedIn);
+    CPPUNIT_TEST(swapEvictsAsManyModelsAsItNeeds);
     CPPUNIT_TEST(planAtDesignSizeTakesAFractionOfTheProcessor);
     CPPUNIT_TEST(planningLeavesMostOfTheEventLoopToOtherWork);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr int rareModels = 24;
+
+    /// What came of the requests in a play of rare models.
+    struct RareModelsResult
+    {
+        int m_served = 0;
+        Millis m_longestWait;
+    };
+
+    /// Three servers, with two thirds of the models on the disk of each. One random model is
+    /// requested in each interval.
+    static RareModelsResult playRareModels(const EngineLimits &limits, Millis interval)
+    {
+        std::mt19937_64 random(7);
+        std::vector<SimServer> servers(3);
+        for (std::size_t at = 0; at < servers.size(); ++at) {
+            servers[at].m_plan = makeServer("s" + std::to_string(at), {}, {});
+            for (int model = 0; model < rareModels; ++model) {
+                if ((model + static_cast<int>(at)) % 3 != 0)
+                    servers[at].m_plan.m_serverStatus.m_onDisk.insert(
+                        {"m" + std::to_string(model)});
+            }
+        }
+        std::map<ModelName, Millis> waiting; // time of the first request for each model
+        RareModelsResult result;
+        constexpr Millis end = {120'000};
+        for (Millis time = {0}; time < end; time = time + Millis{50}) {
+            for (SimServer &server : servers)
+                finishOrder(server, time);
+            if (time.m_count % interval.m_count == 0)
+                waiting.try_emplace({"m" + std::to_string(random() % rareModels)}, time);
+            PlacementInput plan = input(limits, {}, stillWaiting(servers, waiting, result, time));
+            for (const SimServer &server : servers)
+                plan.m_servers.push_back(server.m_plan);
+            for (const EngineCommand &command : planPlacement(plan))
+                beginOrder(servers, command, limits, time);
+            for (const SimServer &server : servers)
+                CPPUNIT_ASSERT(memoryUsed(limits, server.m_plan.m_serverStatus)
+                               <= limits.m_weightsMb);
+        }
+        for (const auto &[model, since] : waiting)
+            result.m_longestWait = std::max(result.m_longestWait, end - since);
+        return result;
+    }
+
+    /// Takes the requests out that can be served now, and returns the demands of the others.
+    static std::vector<ModelDemand> stillWaiting(const std::vector<SimServer> &servers,
+                                                 std::map<ModelName, Millis> &waiting,
+                                                 RareModelsResult &result, Millis time)
+    {
+        std::vector<ModelDemand> demands;
+        for (auto at = waiting.begin(); at != waiting.end();) {
+            const bool there = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
+                return holdsModel(server.m_plan.m_serverStatus, at->first, {});
+            });
+            if (there) {
+                result.m_longestWait = std::max(result.m_longestWait, time - at->second);
+                ++result.m_served;
+                at = waiting.erase(at);
+                continue;
+            }
+            ModelDemand demand = waitingFor(at->first.m_text);
+            demand.m_longestWait = time - at->second;
+            demands.push_back(demand);
+            ++at;
+        }
+        return demands;
+    }
+
+    static void checkRareModels(const RareModelsResult &result)
+    {
+        CPPUNIT_ASSERT(result.m_served > 100);
+        CPPUNIT_ASSERT_MESSAGE("longest wait " + std::to_string(result.m_longestWait.m_count)
+                                   + " ms",
+                               result.m_longestWait <= Millis{4'000});
+    }
+
     static PlacementInput input(const EngineLimits &limits, std::vector<PlanServer> servers,
                                 std::vector<ModelDemand> demands)
     {
@@ -388,56 +479,42 @@
     /// a server.
     void rareModelsAreSwappedInWithinTheWaitLimit()
     {
-        constexpr int models = 24;
-        const EngineLimits limits = makeLimits(models);
-        std::mt19937_64 random(7);
-        std::vector<SimServer> servers(3);
-        for (std::size_t at = 0; at < servers.size(); ++at) {
-            servers[at].m_plan = makeServer("s" + std::to_string(at), {}, {});
-            for (int model = 0; model < models; ++model) {
-                if ((model + static_cast<int>(at)) % 3 != 0)
-                    servers[at].m_plan.m_serverStatus.m_onDisk.insert(
-                        {"m" + std::to_string(model)});
-            }
-        }
-        std::map<ModelName, Millis> waiting; // time of the first request for each model
-        Millis longestWait = {0};
-        int served = 0;
-        constexpr Millis end = {120'000};
-        for (Millis time = {0}; time < end; time = time + Millis{50}) {
-            for (SimServer &server : servers)
-                finishOrder(server, time);
-            if (time.m_count % 1'000 == 0)
-                waiting.try_emplace({"m" + std::to_string(random() % models)}, time);
-            std::vector<ModelDemand> demands;
-            for (auto at = waiting.begin(); at != waiting.end();) {
-                const bool there
-                    = std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
-                          return holdsModel(server.m_plan.m_serverStatus, at->first, {});
-                      });
-                if (there) {
-                    longestWait = std::max(longestWait, time - at->second);
-                    ++served;
-                    at = waiting.erase(at);
-                    continue;
-                }
-                ModelDemand demand = waitingFor(at->first.m_text);
-                demand.m_longestWait = time - at->second;
-                demands.push_back(demand);
-                ++at;
-            }
-            PlacementInput plan = input(limits, {}, demands);
-            for (const SimServer &server : servers)
-                plan.m_servers.push_back(server.m_plan);
-            for (const EngineCommand &command : planPlacement(plan))
-                beginOrder(servers, command, limits, time);
-            for (const SimServer &server : servers)
-                CPPUNIT_ASSERT(memoryUsed(limits, server.m_plan.m_serverStatus)
-                               <= limits.m_weightsMb);
-        }
-        CPPUNIT_ASSERT(served > 100);
-        CPPUNIT_ASSERT_MESSAGE("longest wait " + std::to_string(longestWait.m_count) + " ms",
-                               longestWait <= Millis{4'000});
+        checkRareModels(playRareModels(makeLimits(rareModels), {1'000}));
+    }
+
+    /// Guards against a swap that makes too little room, as it evicts one model whatever its size:
+    /// the server then keeps the room free, and nobody gets the model. Pattern: rare models of two
+    /// sizes, of which a server holds two large ones, or a large and two small ones.
+    void rareModelsOfTwoSizesAreSwappedIn()
+    {
+        checkRareModels(playRareModels(makeUnequalLimits(rareModels), {1'000}));
+    }
+
+    /// Guards against the same in single steps.
+    void swapEvictsAsManyModelsAsItNeeds()
+    {
+        const EngineLimits limits = makeUnequalLimits(8); // those with odd numbers are small
+        PlanServer server = makeServer("a", {"m0", "m1", "m3"}, {"m2"});
+        server.m_running = {{{"m0"}, 1}};
+        auto plan = input(limits, {server}, {waitingFor("m2")});
+        const auto first = planPlacement(plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m1 "), textOf(first));
+        CPPUNIT_ASSERT(first[0].m_makeRoomFor == ModelName{"m2"});
+        server.m_serverStatus.m_models.erase(server.m_serverStatus.m_models.begin() + 1);
+        server.m_pendingModel = {"m2"};
+        plan.m_servers = {server};
+        const auto second = planPlacement(plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m3 "), textOf(second));
+        CPPUNIT_ASSERT(second[0].m_makeRoomFor == ModelName{"m2"});
+        server.m_serverStatus.m_models.pop_back();
+        plan.m_servers = {server};
+        CPPUNIT_ASSERT_EQUAL(std::string("+a:m2 "), textOf(planPlacement(plan)));
+        // One large model is enough, and cheaper than two small ones.
+        plan.m_servers = {makeServer("a", {"m0", "m1", "m3"}, {"m2"})};
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m0 "), textOf(planPlacement(plan)));
+        // Callers wait for all that could be evicted: no swap is begun that can't be ended.
+        plan.m_demands = {waitingFor("m2"), waitingFor("m0"), waitingFor("m1")};
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf(planPlacement(plan)));
     }
 
     /// Guards against a lease holder whose planning fills its processor, so that it handles changes
