--- a/src/gateway.h
+++ b/src/gateway.h
@@ -568,7 +568,13 @@
 // ---------------------------------------------------------------------------------------------
 
 /// Kinds of objects in the platform's store.
-enum class ObjectKind : std::uint8_t { Configuration, Servers, Hosts, Lease };
+enum class ObjectKind : std::uint8_t {
+    Configuration,
+    Servers,
+    Hosts,
+    Lease,
+    Origins, // software versions that began streams; see streamorigins.h
+};
 
 struct StoredObject
 {
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -183,6 +183,7 @@
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
+    gateway->m_originRecord.m_trigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_listTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_demandReportTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_statusTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
@@ -215,6 +216,7 @@
     begin(gateway, "resynchronize", resyncStore(gateway));
     begin(gateway, "register", registerHost(gateway));
     begin(gateway, "hosts", syncObjects(gateway, ObjectKind::Hosts));
+    begin(gateway, "origin_record", keepOriginRecord(gateway));
     begin(gateway, "remove_silent_hosts", removeSilentHosts(gateway));
     begin(gateway, "receive_heartbeats", receiveHeartbeats(gateway));
     begin(gateway, "send_heartbeats", sendHeartbeats(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -235,6 +235,19 @@
     std::set<HostName> m_open;      // those that have not granted it yet
     bool m_extendedByHosts = false; // hosts extended the lease after its last renewal in the store
 };
+/// This host's record of streams in the store. Invariant: nothing is written before m_read, since
+/// the record may hold what only an earlier process of this host knew.
+struct OriginRecordState
+{
+    bool m_read = false;          // the records of all hosts were read since this process started
+    std::uint64_t m_position = 0; // of this host's record in the store; 0: there is none
+    OriginRecord m_written;       // as last written
+    std::uint64_t m_wanted = 0;   // counts the origins that the record has to hold
+    std::uint64_t m_stored = 0;   // of these, those that it holds
+    std::list<WakeableTimer *> m_waiting; // requests that wait for the next write
+    std::unique_ptr<WakeableTimer> m_trigger;
+};
+
 
 /// Everything of one gateway process.
 struct Gateway
@@ -319,6 +332,7 @@
 std::optional<Failure> startGateway(Gateway &gateway);
 
 /// Performs a planned stop: the host is no longer listed in address answers, requests that still
+    OriginRecordState m_originRecord;
 /// arrive are served, then m_io is stopped.
 asio::awaitable<void> stopGateway(Gateway &gateway);
 
@@ -401,6 +415,9 @@
 /// Compares this host's state with another host's heartbeat, which states its configuration version
 /// (`routes`), the digest of its server table and the store revision of that table. If this host is
 /// out of date, reads the missing changes, unless they arrive by themselves within a short time.
+/// Reads all objects of a kind once, and retries until the store answers.
+asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind);
+
 void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision);
 
 // --- hostregister.cpp: the register of hosts in the store ---
@@ -494,9 +511,9 @@
 // --- originexchange.cpp: software versions that began streams ---
 
 /// Records which version began the stream, whose first event this host is about to pass on, here
-/// and, if the service has several, at the keepers.
-void announceOrigin(Gateway &gateway, StreamId stream, const ServiceName &service,
-                    SoftwareId software);
+/// and, if the service has several, at the keepers and in the store.
+asio::awaitable<void> announceOrigin(Gateway &gateway, StreamId stream, ServiceName service,
+                                     SoftwareId software);
 
 /// Finds out which version began a stream, from other hosts if this one doesn't know.
 asio::awaitable<OriginReplies> askForOrigin(Gateway &gateway, StreamId stream, ServiceName service);
@@ -528,6 +545,24 @@
 
 /// Releases the lease in a planned stop. During a store outage no other host could take it over, so
 /// the release waits for the store as long as the stop allows.
+// --- originrecords.cpp: the same in the store ---
+
+/// Reads the records of all hosts, then keeps this host's record up to date until the process ends.
+asio::awaitable<void> keepOriginRecord(Gateway &gateway);
+
+/// Reads what hosts recorded before this process started.
+asio::awaitable<void> readOriginRecords(Gateway &gateway);
+
+/// Waits until this host's record holds all streams that it knows now, or for a short time if the
+/// store doesn't answer.
+asio::awaitable<void> waitForOriginRecord(Gateway &gateway);
+
+/// Takes over a host's record as it is in the store.
+void applyOriginRecord(Gateway &gateway, const StoredObject &object);
+
+/// Removes the record of a host that is gone for good.
+asio::awaitable<void> removeOriginRecord(Gateway &gateway, HostName host);
+
 asio::awaitable<void> releaseLease(Gateway &gateway);
 
 /// Ends this host's lease and discards its placement state; `why` is logged.
--- a/src/process/originexchange.cpp
+++ b/src/process/originexchange.cpp
@@ -46,8 +46,8 @@
     heartbeat.origins.push_back(std::move(entry));
 }
 
-/// Sends the keepers the origins of all recent streams of this host: until now its services had one
-/// version each, and nothing was sent.
+/// Sends the keepers the origins of all recent streams of this host, and has them recorded: until
+/// now its services had one version each, and nothing was sent.
 void sendBacklog(Gateway &gateway)
 {
     std::map<HostName, wire::BeatT> heartbeats;
@@ -63,6 +63,8 @@
     }
     for (const auto &[host, heartbeat] : heartbeats)
         sendTo(gateway, host, heartbeat);
+    gateway.m_originRecord.m_wanted += 1;
+    wake(*gateway.m_originRecord.m_trigger);
     logEvent("several_versions",
              {{"origins", std::to_string(gateway.m_streamOrigins.m_known.size())},
               {"keepers", std::to_string(heartbeats.size())}});
@@ -118,16 +120,17 @@
 
 } // namespace
 
-void announceOrigin(Gateway &gateway, StreamId stream, const ServiceName &service,
-                    SoftwareId software)
+asio::awaitable<void> announceOrigin(Gateway &gateway, StreamId stream, ServiceName service,
+                                     SoftwareId software)
 {
     recordOrigin(gateway.m_streamOrigins, stream, {software, now(gateway), true});
     if (!hasSeveralVersions(gateway.m_serviceVersions, service))
-        return;
+        co_return;
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     addOrigin(heartbeat, stream, software);
     for (const HostName &host : hostsFor(gateway, stream, originKeepers))
         sendTo(gateway, host, heartbeat);
+    co_await waitForOriginRecord(gateway);
 }
 
 asio::awaitable<OriginReplies> askForOrigin(Gateway &gateway, StreamId stream, ServiceName service)
@@ -152,6 +155,9 @@
     const Millis time = now(gateway);
     if (updateVersions(gateway.m_serviceVersions, gateway.m_serverTable, time))
         sendBacklog(gateway);
+    const OriginRecordState &record = gateway.m_originRecord;
+    if (versionSetsOf(gateway.m_serviceVersions) != record.m_written.m_versions)
+        wake(*record.m_trigger);
 }
 
 void applyOrigins(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat)
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -43,6 +43,8 @@
         return "hosts";
     case ObjectKind::Lease:
         return "lease";
+    case ObjectKind::Origins:
+        return "origins";
     }
     return "unknown";
 }
@@ -184,6 +186,8 @@
         applyServerObject(gateway, object);
     else if (kind == ObjectKind::Hosts)
         applyHostEntry(gateway, object);
+    else if (kind == ObjectKind::Origins)
+        applyOriginRecord(gateway, object);
 }
 
 /// Whether the era of the reply counts: a refusal may come from something else than the store.
@@ -396,6 +400,11 @@
 asio::awaitable<void> syncObjects(Gateway &gateway, ObjectKind kind)
 {
     std::optional<std::uint64_t> revision;
+asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind)
+{
+    co_await listUntilSuccess(gateway, kind);
+}
+
     Millis pause = initialBackoff;
     while (true) {
         if (!revision) {
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -67,11 +67,11 @@
 }
 
 /// Binds the stream to the software version of the server that sent its first event.
-void recordVersion(Relay &relay)
+asio::awaitable<void> recordVersion(Relay &relay)
 {
     if (!relay.m_software)
         relay.m_software = relay.m_serverSoftware;
-    announceOrigin(*relay.m_gateway, streamOf(relay), relay.m_service, *relay.m_software);
+    co_await announceOrigin(*relay.m_gateway, streamOf(relay), relay.m_service, *relay.m_software);
 }
 
 /// Records the latency of the first event and the longest gap between events.
@@ -83,7 +83,6 @@
     else if (time - *relay.m_answer.m_firstEventAt >= survivalTime)
         recordSurvival(relay);
     if (relay.m_firstEvent.m_count == 0) {
-        recordVersion(relay);
         relay.m_firstEvent = std::max(time - relay.m_arrived, Millis{1});
         observe(relay.m_gateway->m_metrics, LatencyKind::FirstToken, relay.m_firstEvent);
     } else {
@@ -119,6 +118,10 @@
                 makeFailure(ErrorKind::BackendBroken, "an event is over the size limit"));
         if (events.empty())
             continue;
+        if (relay.m_firstEvent.m_count == 0)
+            co_await recordVersion(relay);
+        if (callerDisconnected(relay))
+            co_return SendResult{};
         recordEvent(relay);
         if (!co_await writeChunk(*relay.m_exchange, events))
             co_return SendResult{};
--- a/src/request/resumption.cpp
+++ b/src/request/resumption.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Time for which a stream that is taken up waits for this host to read the records of streams
+/// that began before it started.
+constexpr Millis recordsTimeout = {1'500};
+constexpr Millis recordsPollInterval = {20};
+
 bool takesUpStream(const Relay &relay)
 {
     const RequestMetadata &metadata = relay.m_metadata;
@@ -38,6 +43,16 @@
     });
 }
 
+/// Waits until this host has read the records of streams. Returns false if it hasn't in time.
+asio::awaitable<bool> waitForRecords(Relay &relay)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const Millis end = std::min(now(gateway) + recordsTimeout, relay.m_deadline);
+    while (!gateway.m_originRecord.m_read && now(gateway) < end && !callerDisconnected(relay))
+        co_await pauseFor(gateway, recordsPollInterval);
+    co_return gateway.m_originRecord.m_read;
+}
+
 } // namespace
 
 StreamId streamOf(const Relay &relay)
@@ -50,6 +65,10 @@
     if (!takesUpStream(relay))
         co_return std::nullopt;
     Gateway &gateway = *relay.m_gateway;
+    if (!co_await waitForRecords(relay))
+        co_return makeFailure(ErrorKind::NotReady,
+                              "the versions of streams have not been read from the store yet",
+                              shortRetryAfter);
     watchVersions(gateway);
     OriginReplies replies;
     replies.m_several = hasSeveralVersions(gateway.m_serviceVersions, relay.m_service);
--- a/src/request/streamorigins.cpp
+++ b/src/request/streamorigins.cpp
@@ -60,4 +60,38 @@
     return found != versions.m_listedAt.end() && found->second.size() > 1;
 }
 
+VersionSets versionSetsOf(const ServiceVersions &versions)
+{
+    VersionSets sets;
+    for (const auto &[service, listedAt] : versions.m_listedAt) {
+        for (const auto &[software, at] : listedAt)
+            sets[service].insert(software);
+    }
+    return sets;
+}
+
+OriginRecord makeOriginRecord(const StreamOrigins &origins, const ServiceVersions &versions,
+                              Millis time)
+{
+    OriginRecord record = {versionSetsOf(versions), {}};
+    for (const auto &[stream, origin] : origins.m_known) {
+        if (origin.m_own && origin.m_recordedAt + recordedTime >= time)
+            record.m_streams[origin.m_software].push_back(stream);
+    }
+    return record;
+}
+
+void addOriginRecord(StreamOrigins &origins, ServiceVersions &versions, const OriginRecord &record,
+                     bool own, Millis time)
+{
+    for (const auto &[service, softwares] : record.m_versions) {
+        for (const SoftwareId software : softwares)
+            versions.m_listedAt[service][software] = time;
+    }
+    for (const auto &[software, streams] : record.m_streams) {
+        for (const StreamId stream : streams)
+            recordOrigin(origins, stream, {software, time, own});
+    }
+}
+
 } // namespace apricot
--- a/src/streamorigins.h
+++ b/src/streamorigins.h
@@ -7,13 +7,18 @@
 // the keepers, which rendezvous hashing ranks first for the stream: no host has to be told which
 // ones they are. While a service has one version only, nothing is sent.
 //
-// All state is in memory, bounded, and dropped after a time in which no stream is taken up any
-// more.
+// All hosts may end at the same moment, and keep nothing on disk. So each host also has a record in
+// the platform's store: the streams that it began in the last seconds while a service had several
+// versions, and the versions that it knows. The first event of a stream waits for its record. A
+// host that starts reads the records of all hosts before a stream is taken up there.
+//
+// All state is bounded, and dropped after a time in which no stream is taken up any more.
 //
 // Index
 //   1. Origins   the versions of streams that a host knows
 //   2. Versions  which versions the servers of a service have
 //   3. Keepers   hosts at which a stream's version is recorded
+//   4. Records   what the store keeps of origins and versions of each host
 //
 // Times are Millis on the machine's monotonic clock. The functions do no I/O.
 #pragma once
@@ -65,6 +70,9 @@
     std::map<ServiceName, std::map<SoftwareId, Millis>> m_listedAt;
 };
 
+/// Versions of each service, without times.
+using VersionSets = std::map<ServiceName, std::set<SoftwareId>>;
+
 /// Takes over the versions of all listed servers. Returns true if a service has several now that
 /// had one before. Versions whose servers left longer than originLifetime ago are dropped.
 bool updateVersions(ServiceVersions &versions, const ServerTable &servers, Millis time);
@@ -87,4 +95,31 @@
     bool m_several = false; // one of them knows several versions of the service
 };
 
+// ---------------------------------------------------------------------------------------------
+// 4. Records
+// ---------------------------------------------------------------------------------------------
+
+/// Streams that began longer ago are left out of the record: their callers wait no longer.
+constexpr Millis recordedTime = {30'000};
+
+/// Record of one host in the store. It has no times: clocks of hosts differ.
+struct OriginRecord
+{
+    VersionSets m_versions;                                // that the host knows
+    std::map<SoftwareId, std::vector<StreamId>> m_streams; // by the version that began them
+
+    bool operator==(const OriginRecord &) const = default;
+};
+
+VersionSets versionSetsOf(const ServiceVersions &versions);
+
+/// The record of a host: the versions that it knows, and its own recent streams.
+OriginRecord makeOriginRecord(const StreamOrigins &origins, const ServiceVersions &versions,
+                              Millis time);
+
+/// Takes over a host's record as if it was of this moment. `own`: it is the record of this host,
+/// by an earlier process.
+void addOriginRecord(StreamOrigins &origins, ServiceVersions &versions, const OriginRecord &record,
+                     bool own, Millis time);
+
 } // namespace apricot
