--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -75,8 +75,10 @@
 struct Peer
 {
     HostEntry m_entry;
-    Millis m_entrySeenAt;             // when the entry of its process instance was first seen
-    Millis m_receivedAt;              // when its last heartbeat was received; 0: never
+    Millis m_entrySeenAt; // when the entry of its process instance was first seen
+    Millis m_receivedAt;  // when its last heartbeat was received; 0: never
+    int m_probes = 0;     // see HostSilence; used by the lease holder
+    Millis m_probedAt;
     bool m_ready = false;             // accepts callers' requests
     std::uint64_t m_fencingToken = 0; // above 0: it states that it holds the lease
     std::map<ModelDemandKey, ModelDemand> m_modelDemands;   // demand of its callers
@@ -84,6 +86,18 @@
     Millis m_demandReceivedAt; // when the demand and uses above were received
 };
 
+/// Changes among the other hosts that were not logged yet: in a large fleet a line for each one
+/// would be most of the log.
+struct HostChanges
+{
+    int m_known = 0; // process instances
+    int m_gone = 0;
+    int m_ready = 0;
+    int m_notReady = 0;
+    std::string m_some; // names of the first few
+    Millis m_loggedAt;
+};
+
 /// A model server as tracked by the lease holder, which is the only host that sends orders to it.
 struct TrackedServer
 {
@@ -221,6 +235,19 @@
     OriginReplies m_replies;
 };
 
+/// This host's record of streams in the store. Invariant: nothing is written before m_read, since
+/// the record may hold what only an earlier process of this host knew.
+struct OriginRecordState
+{
+    bool m_read = false;          // the records of all hosts were read since this process started
+    std::uint64_t m_position = 0; // of this host's record in the store; 0: there is none
+    OriginRecord m_written;       // as last written
+    std::uint64_t m_wanted = 0;   // counts the origins that the record has to hold
+    std::uint64_t m_stored = 0;   // of these, those that it holds
+    std::list<WakeableTimer *> m_waiting; // requests that wait for the next write
+    std::unique_ptr<WakeableTimer> m_trigger;
+};
+
 struct Relay; // see request/relay.h
 
 /// The holder's last request for an extension of its lease, sent to all other hosts, and repeated
@@ -235,19 +262,6 @@
     std::set<HostName> m_open;      // those that have not granted it yet
     bool m_extendedByHosts = false; // hosts extended the lease after its last renewal in the store
 };
-/// This host's record of streams in the store. Invariant: nothing is written before m_read, since
-/// the record may hold what only an earlier process of this host knew.
-struct OriginRecordState
-{
-    bool m_read = false;          // the records of all hosts were read since this process started
-    std::uint64_t m_position = 0; // of this host's record in the store; 0: there is none
-    OriginRecord m_written;       // as last written
-    std::uint64_t m_wanted = 0;   // counts the origins that the record has to hold
-    std::uint64_t m_stored = 0;   // of these, those that it holds
-    std::list<WakeableTimer *> m_waiting; // requests that wait for the next write
-    std::unique_ptr<WakeableTimer> m_trigger;
-};
-
 
 /// Everything of one gateway process.
 struct Gateway
@@ -315,8 +329,10 @@
     CrashNews m_crashNews;
     Permits m_permits;
     InstanceId m_lastLeavingSent; // last server that leaves sent in rotation
+    HostChanges m_hostChanges;
     StreamOrigins m_streamOrigins;
     ServiceVersions m_serviceVersions;
+    OriginRecordState m_originRecord;
     std::map<std::uint64_t, PendingOrigin *> m_pendingOrigins; // by the number of the question
     std::uint64_t m_lastOriginAsk = 0;
     std::set<Relay *> m_relays; // callers' requests in progress
@@ -332,7 +348,6 @@
 std::optional<Failure> startGateway(Gateway &gateway);
 
 /// Performs a planned stop: the host is no longer listed in address answers, requests that still
-    OriginRecordState m_originRecord;
 /// arrive are served, then m_io is stopped.
 asio::awaitable<void> stopGateway(Gateway &gateway);
 
@@ -400,6 +415,9 @@
 asio::awaitable<StoreReply> requestStoreObject(Gateway &gateway, const char *what,
                                                HttpRequest request);
 
+/// Reads all objects of a kind once, and retries until the store answers.
+asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind);
+
 /// Keeps this host's state of all objects of a kind up to date by watches, until the process ends.
 asio::awaitable<void> syncObjects(Gateway &gateway, ObjectKind kind);
 
@@ -415,9 +433,6 @@
 /// Compares this host's state with another host's heartbeat, which states its configuration version
 /// (`routes`), the digest of its server table and the store revision of that table. If this host is
 /// out of date, reads the missing changes, unless they arrive by themselves within a short time.
-/// Reads all objects of a kind once, and retries until the store answers.
-asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind);
-
 void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision);
 
 // --- hostregister.cpp: the register of hosts in the store ---
@@ -435,11 +450,14 @@
 /// is written again.
 asio::awaitable<bool> verifyRegistration(Gateway &gateway);
 
-/// Removes hosts from the register that have sent no heartbeat for a long time, since a host that
-/// is gone for good would never grant the holder an extension. A host that is still alive detects
-/// the removal, registers again, and restarts its wait before it may take the lease.
+/// On the lease holder, removes hosts from the register that are gone, since a host that is gone
+/// for good would never grant an extension. A host that is still alive detects the removal,
+/// registers again, and restarts its wait before it may take the lease.
 asio::awaitable<void> removeSilentHosts(Gateway &gateway);
 
+/// One round of the above: probes hosts that are silent, and removes those that are gone.
+asio::awaitable<void> checkSilentHosts(Gateway &gateway);
+
 // --- hosts.cpp: other hosts, and address answers ---
 
 asio::awaitable<void> receiveHeartbeats(Gateway &gateway);
@@ -448,6 +466,12 @@
 /// servers whose grace period has ended, and demand entries that are idle.
 asio::awaitable<void> sendHeartbeats(Gateway &gateway);
 
+/// Asks a host for a heartbeat.
+void probeHost(Gateway &gateway, Peer &peer);
+
+/// Logs the changes among the other hosts, at most once in a while.
+void logHostChanges(Gateway &gateway);
+
 /// Sends a heartbeat to all other hosts at once, besides the periodic ones. `resynchronized`: this
 /// host has just read configuration and servers anew.
 void broadcastHeartbeat(Gateway &gateway, bool resynchronized = false);
@@ -521,6 +545,24 @@
 /// Takes over the versions of the listed servers. To be called often.
 void watchVersions(Gateway &gateway);
 
+// --- originrecords.cpp: the same in the store ---
+
+/// Reads the records of all hosts, then keeps this host's record up to date until the process ends.
+asio::awaitable<void> keepOriginRecord(Gateway &gateway);
+
+/// Reads what hosts recorded before this process started.
+asio::awaitable<void> readOriginRecords(Gateway &gateway);
+
+/// Waits until this host's record holds all streams that it knows now, or for a short time if the
+/// store doesn't answer.
+asio::awaitable<void> waitForOriginRecord(Gateway &gateway);
+
+/// Takes over a host's record as it is in the store.
+void applyOriginRecord(Gateway &gateway, const StoredObject &object);
+
+/// Removes the record of a host that is gone for good.
+asio::awaitable<void> removeOriginRecord(Gateway &gateway, HostName host);
+
 // --- statements.cpp: what servers say of themselves ---
 
 /// Takes over what an answer told of its server: limit, pause, leaving. `sentAt`: when the request
@@ -545,24 +587,6 @@
 
 /// Releases the lease in a planned stop. During a store outage no other host could take it over, so
 /// the release waits for the store as long as the stop allows.
-// --- originrecords.cpp: the same in the store ---
-
-/// Reads the records of all hosts, then keeps this host's record up to date until the process ends.
-asio::awaitable<void> keepOriginRecord(Gateway &gateway);
-
-/// Reads what hosts recorded before this process started.
-asio::awaitable<void> readOriginRecords(Gateway &gateway);
-
-/// Waits until this host's record holds all streams that it knows now, or for a short time if the
-/// store doesn't answer.
-asio::awaitable<void> waitForOriginRecord(Gateway &gateway);
-
-/// Takes over a host's record as it is in the store.
-void applyOriginRecord(Gateway &gateway, const StoredObject &object);
-
-/// Removes the record of a host that is gone for good.
-asio::awaitable<void> removeOriginRecord(Gateway &gateway, HostName host);
-
 asio::awaitable<void> releaseLease(Gateway &gateway);
 
 /// Ends this host's lease and discards its placement state; `why` is logged.
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -20,6 +20,9 @@
                   const std::string &bytes);
 void sendToAllPeers(Gateway &gateway, MessageKind kind, const std::string &bytes);
 
+/// Counts a change of a host, in one of the counters of `changes`, for the log.
+void countHostChange(HostChanges &changes, int &counter, const HostName &host);
+
 /// Takes bytes out of the budget; false, and nothing is taken, if it lacks them.
 bool takeBytes(ByteBudget &budget, Millis time, double bytes);
 
--- a/src/process/hostregister.cpp
+++ b/src/process/hostregister.cpp
@@ -1,5 +1,5 @@
 // The register of hosts in the store: every host that serves callers has an entry there.
-#include "process/gatewaystate.h"
+#include "process/heartbeat.h"
 #include "process/log.h"
 
 #include <boost/json.hpp>
@@ -8,9 +8,12 @@
 
 namespace {
 
-/// A host that is silent for longer than this is removed from the register.
-constexpr Millis registrationRemovalDelay = {6'000};
-constexpr Millis registerCheckInterval = {2'000}; // between two searches for silent hosts
+/// A holder that has heard no host at all for this long may be deaf itself: it removes none, until
+/// it has been alone for so long that the others must be gone.
+constexpr Millis deafAfter = {3'000};
+constexpr Millis aloneAfter = {30'000};
+constexpr Millis hostLogInterval = {1'000};
+constexpr std::size_t maxLoggedNames = 200; // characters
 
 boost::json::value encodeHostEntry(const Gateway &gateway)
 {
@@ -104,32 +107,92 @@
     co_return reply.m_outcome == StoreOutcome::Done;
 }
 
+namespace {
+
+/// Whether this host hears so little that it can't tell which hosts are gone.
+bool mayBeDeaf(const Gateway &gateway)
+{
+    Millis lastHeard = {0};
+    for (const auto &[host, peer] : gateway.m_peers)
+        lastHeard = std::max({lastHeard, peer.m_receivedAt, peer.m_entrySeenAt});
+    const Millis silent = now(gateway) - lastHeard;
+    return silent >= deafAfter && silent < aloneAfter;
+}
+
+/// Probes the hosts that are silent. Returns those that are gone.
+std::vector<HostEntry> probeSilentHosts(Gateway &gateway)
+{
+    const Millis time = now(gateway);
+    std::vector<HostEntry> gone;
+    for (auto &[host, peer] : gateway.m_peers) {
+        // After the store came back from a copy, all hosts write their entries again.
+        if (storeEra(peer.m_entry.m_revision) != gateway.m_storeEra.value_or(0))
+            continue;
+        HostSilence silence
+            = {std::max(peer.m_receivedAt, peer.m_entrySeenAt), peer.m_probes, peer.m_probedAt};
+        const SilenceStep step = nextStep(silence, time);
+        if (step == SilenceStep::Remove)
+            gone.push_back(peer.m_entry);
+        if (step != SilenceStep::Probe)
+            continue;
+        recordProbe(silence, time);
+        peer.m_probes = silence.m_probes;
+        peer.m_probedAt = silence.m_probedAt;
+        probeHost(gateway, peer);
+    }
+    return gone;
+}
+
+} // namespace
+
+asio::awaitable<void> checkSilentHosts(Gateway &gateway)
+{
+    if (!holdsLease(gateway) || gateway.m_storeHealth.m_unavailable)
+        co_return;
+    const std::vector<HostEntry> gone = probeSilentHosts(gateway);
+    if (mayBeDeaf(gateway))
+        co_return;
+    for (const HostEntry &entry : gone) {
+        HttpRequest request = gateway.m_protocol->deleteObject(
+            ObjectKind::Hosts, entry.m_host.m_text, entry.m_revision);
+        const StoreReply reply = co_await requestStoreObject(gateway, "clear", std::move(request));
+        logEvent("silent_host_removed",
+                 {{"peer", entry.m_host.m_text}, {"outcome", reply.m_detail}});
+        co_await removeOriginRecord(gateway, entry.m_host);
+    }
+}
+
 asio::awaitable<void> removeSilentHosts(Gateway &gateway)
 {
     while (true) {
-        co_await pauseFor(gateway, jittered(gateway, registerCheckInterval));
-        if (!holdsLease(gateway) || gateway.m_storeHealth.m_unavailable)
-            continue;
-        std::vector<HostEntry> silent;
-        for (const auto &[host, peer] : gateway.m_peers) {
-            const bool ofThisEra
-                = storeEra(peer.m_entry.m_revision) == gateway.m_storeEra.value_or(0);
-            if (ofThisEra
-                && now(gateway) - std::max(peer.m_receivedAt, peer.m_entrySeenAt)
-                    > registrationRemovalDelay)
-                silent.push_back(peer.m_entry);
-        }
-        for (const HostEntry &entry : silent) {
-            HttpRequest request = gateway.m_protocol->deleteObject(
-                ObjectKind::Hosts, entry.m_host.m_text, entry.m_revision);
-            const StoreReply reply
-                = co_await requestStoreObject(gateway, "clear", std::move(request));
-            logEvent("silent_host_removed",
-                     {{"peer", entry.m_host.m_text}, {"outcome", reply.m_detail}});
-        }
+        co_await pauseFor(gateway, probeInterval);
+        co_await checkSilentHosts(gateway);
     }
 }
 
+void countHostChange(HostChanges &changes, int &counter, const HostName &host)
+{
+    counter += 1;
+    if (changes.m_some.size() < maxLoggedNames)
+        changes.m_some += (changes.m_some.empty() ? "" : " ") + host.m_text;
+}
+
+void logHostChanges(Gateway &gateway)
+{
+    HostChanges &changes = gateway.m_hostChanges;
+    if (changes.m_some.empty() || now(gateway) - changes.m_loggedAt < hostLogInterval)
+        return;
+    logEvent("hosts_changed",
+             {{"known", std::to_string(changes.m_known)},
+              {"gone", std::to_string(changes.m_gone)},
+              {"ready", std::to_string(changes.m_ready)},
+              {"not_ready", std::to_string(changes.m_notReady)},
+              {"some", changes.m_some},
+              {"hosts", std::to_string(hostCount(gateway))}});
+    changes = HostChanges();
+    changes.m_loggedAt = now(gateway);
+}
+
 void applyHostEntry(Gateway &gateway, const StoredObject &object)
 {
     const HostName host = {object.m_name};
@@ -145,7 +208,7 @@
     }
     if (object.m_deleted) {
         gateway.m_peers.erase(host);
-        logEvent("host_gone", {{"peer", object.m_name}});
+        countHostChange(gateway.m_hostChanges, gateway.m_hostChanges.m_gone, host);
         return;
     }
     const auto entry = decodeHostEntry(object);
@@ -158,7 +221,7 @@
     if (peer.m_entry.m_run != entry->m_run) {
         peer = Peer();
         peer.m_entrySeenAt = now(gateway);
-        logEvent("host_known", {{"peer", object.m_name}, {"at", toText(entry->m_caller)}});
+        countHostChange(gateway.m_hostChanges, gateway.m_hostChanges.m_known, host);
     }
     peer.m_entry = *entry;
 }
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -144,6 +144,9 @@
         return; // not in the register, or its entry hasn't arrived here yet
     }
     Peer &peer = found->second;
+    if (heartbeat.reply_wanted)
+        sendDatagram(gateway, MessageKind::Heartbeat, peer.m_entry.m_peer,
+                     encodeHeartbeat(makeHeartbeat(gateway)));
     if (heartbeat.brief) {
         applyCrashNews(gateway, heartbeat);
         applyPermits(gateway, peer, heartbeat);
@@ -151,10 +154,12 @@
         return;
     }
     const Millis time = now(gateway);
-    if (peer.m_ready != heartbeat.ready)
-        logEvent("host_readiness",
-                 {{"peer", heartbeat.host}, {"ready", heartbeat.ready ? "yes" : "no"}});
+    if (peer.m_ready != heartbeat.ready) {
+        HostChanges &changes = gateway.m_hostChanges;
+        countHostChange(changes, heartbeat.ready ? changes.m_ready : changes.m_notReady, host);
+    }
     peer.m_receivedAt = time;
+    peer.m_probes = 0;
     peer.m_ready = heartbeat.ready;
     peer.m_fencingToken = heartbeat.fence;
     if (heartbeat.fence > 0)
@@ -266,6 +271,13 @@
     }
 }
 
+void probeHost(Gateway &gateway, Peer &peer)
+{
+    wire::BeatT heartbeat = makeHeartbeat(gateway);
+    heartbeat.reply_wanted = true;
+    sendDatagram(gateway, MessageKind::Heartbeat, peer.m_entry.m_peer, encodeHeartbeat(heartbeat));
+}
+
 void broadcastHeartbeat(Gateway &gateway, bool resynchronized)
 {
     wire::BeatT heartbeat = makeHeartbeat(gateway);
@@ -335,6 +347,7 @@
         sendPeriodicHeartbeat(gateway, nextPeer);
         dropExpiredMissing(gateway.m_serverTable, now(gateway));
         updateStatementCounts(gateway);
+        logHostChanges(gateway);
         std::erase_if(gateway.m_modelDemands,
                       [&](const auto &demand) { return isIdle(demand.second, now(gateway)); });
         co_await pauseFor(gateway, jittered(gateway, peerHeartbeatInterval));
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -165,6 +165,32 @@
     return false;
 }
 
+Millis registerReadInterval(int hosts)
+{
+    constexpr Millis perHost = {5};
+    constexpr Millis longest = {1'500};
+    return std::min(perHost * hosts, longest);
+}
+
+SilenceStep nextStep(const HostSilence &silence, Millis time)
+{
+    const Millis silent = time - silence.m_lastHeard;
+    if (silent < probeAfterSilence)
+        return SilenceStep::None;
+    const Millis sinceProbe = time - silence.m_probedAt;
+    if (silence.m_probes > 0 && sinceProbe < probeInterval)
+        return SilenceStep::None;
+    const bool probed = silence.m_probes >= probesBeforeRemoval && sinceProbe <= maxProbeGap;
+    return probed && silent >= removalAfterSilence ? SilenceStep::Remove : SilenceStep::Probe;
+}
+
+void recordProbe(HostSilence &silence, Millis time)
+{
+    const bool continues = silence.m_probes > 0 && time - silence.m_probedAt <= maxProbeGap;
+    silence.m_probes = continues ? silence.m_probes + 1 : 1;
+    silence.m_probedAt = time;
+}
+
 std::vector<HostName> rankHosts(std::string_view key, const std::vector<HostName> &hosts)
 {
     std::vector<std::pair<std::uint64_t, HostName>> weighted;
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -348,7 +348,10 @@
     if (!page->m_objects.empty())
         wakeWaiting(gateway);
     const bool returnedEarly = page->m_objects.empty() && now(gateway) - began < emptyWatchDelay;
-    co_await pauseFor(gateway, returnedEarly ? emptyWatchDelay : watchBatchDelay);
+    const Millis batchDelay = kind == ObjectKind::Hosts
+        ? std::max(registerReadInterval(hostCount(gateway)), watchBatchDelay)
+        : watchBatchDelay;
+    co_await pauseFor(gateway, returnedEarly ? emptyWatchDelay : batchDelay);
     co_return page->m_revision;
 }
 
@@ -397,14 +400,14 @@
 
 } // namespace
 
-asio::awaitable<void> syncObjects(Gateway &gateway, ObjectKind kind)
-{
-    std::optional<std::uint64_t> revision;
 asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind)
 {
     co_await listUntilSuccess(gateway, kind);
 }
 
+asio::awaitable<void> syncObjects(Gateway &gateway, ObjectKind kind)
+{
+    std::optional<std::uint64_t> revision;
     Millis pause = initialBackoff;
     while (true) {
         if (!revision) {
