--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -83,6 +83,37 @@
     return status;
 }
 
+/// When a host was removed in a play of minutes; 0: never.
+struct RemovalPlay
+{
+    Millis m_removedAt;
+};
+
+/// A lease holder that hears a host at the interval, or never if it is 0. Datagrams of both are
+/// lost with that probability.
+RemovalPlay playSilence(std::uint64_t seed, Millis heartbeatInterval, double lost)
+{
+    std::mt19937_64 random(seed);
+    const auto arrives
+        = [&] { return std::uniform_real_distribution<double>(0, 1)(random) >= lost; };
+    const bool lives = heartbeatInterval.m_count > 0;
+    HostSilence silence;
+    constexpr Millis end = {120'000};
+    for (Millis time = {0}; time < end; time = time + Millis{50}) {
+        if (lives && time.m_count % heartbeatInterval.m_count == 0 && arrives())
+            silence = {time, 0, {0}};
+        const SilenceStep step = nextStep(silence, time);
+        if (step == SilenceStep::Remove)
+            return {time};
+        if (step == SilenceStep::Probe) {
+            recordProbe(silence, time);
+            if (lives && arrives() && arrives())
+                silence = {time, 0, {0}};
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 class GatewayHostsTest : public CppUnit::TestFixture
@@ -95,9 +126,47 @@
     CPPUNIT_TEST(statusUpdateWakesOnlyRequestsForItsModels);
     CPPUNIT_TEST(releaseIsNoticedAfterItsHostLeftTheRegister);
     CPPUNIT_TEST(heartbeatsTellOfAllServersThatLeave);
+    CPPUNIT_TEST(hostIsRemovedOnlyAfterUnansweredProbes);
+    CPPUNIT_TEST(lostDatagramsRemoveNoHost);
+    CPPUNIT_TEST(pausedHolderRemovesNoHost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a host that is never removed, and one that is removed for its silence alone.
+    void hostIsRemovedOnlyAfterUnansweredProbes()
+    {
+        const RemovalPlay gone = playSilence(1, {0}, 0);
+        CPPUNIT_ASSERT(gone.m_removedAt >= removalAfterSilence);
+        CPPUNIT_ASSERT(gone.m_removedAt <= removalAfterSilence + Millis{1'000});
+        CPPUNIT_ASSERT(nextStep({{0}, 0, {0}}, {60'000}) == SilenceStep::Probe);
+    }
+
+    /// Guards against hosts that live and are removed as datagrams get lost, in fleets of any size:
+    /// the holder hears one host every 400 ms x hosts / 8. Pattern: one datagram in ten is lost.
+    void lostDatagramsRemoveNoHost()
+    {
+        constexpr double lost = 0.1;
+        for (const int hosts : {9, 72, 195, 400, 1'000}) {
+            const Millis interval = {400 * std::max(hosts / 8, 1)};
+            for (std::uint64_t seed = 1; seed <= 20; ++seed)
+                CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                                     playSilence(seed, interval, lost).m_removedAt.m_count);
+        }
+    }
+
+    /// Guards against a holder that was paused: what arrived meanwhile isn't read yet.
+    void pausedHolderRemovesNoHost()
+    {
+        HostSilence silence = {{0}, 0, {0}};
+        for (int probe = 0; probe < probesBeforeRemoval; ++probe)
+            recordProbe(silence, probeAfterSilence + probeInterval * probe);
+        const Millis resumed = silence.m_probedAt + maxProbeGap + Millis{1};
+        CPPUNIT_ASSERT(resumed >= removalAfterSilence);
+        CPPUNIT_ASSERT(nextStep(silence, resumed) == SilenceStep::Probe);
+        recordProbe(silence, resumed);
+        CPPUNIT_ASSERT_EQUAL(1, silence.m_probes);
+    }
+
     /// Guards against a lease holder that spends its processor on sending: with one datagram for
     /// each order and each host, hundreds of orders a second take thousands of system calls.
     void statusUpdatesOfOneMomentShareADatagram()
