--- a/src/gateway.h
+++ b/src/gateway.h
@@ -442,9 +442,9 @@
 
 /// Time at which this host tries to take the lease. Attempts are staggered by the host's `rank`, so
 /// that one host writes the record and the others receive its heartbeat before they try. The last
-/// holder, if it was restarted, doesn't wait for other hosts.
+/// holder, if it was restarted, doesn't wait for other hosts. `headStart`: of larger hosts.
 Millis takeoverAttemptAt(const Lease &lease, const LeaseTiming &timing, const HostName &self,
-                         int rank);
+                         int rank, Millis headStart);
 
 /// Records that the store acknowledged this host's lease record, whose write was sent at `began`.
 void confirmLease(Lease &lease, const LeaseTiming &timing, const LeaseRecord &record,
@@ -549,6 +549,16 @@
 // 6. Hosts
 // ---------------------------------------------------------------------------------------------
 
+/// What the machine of a host can carry; 0: not stated.
+struct HostCapacity
+{
+    double m_cores = 0;    // of one core, the share that the host may use
+    double m_linkMbps = 0; // of the machine's own link
+};
+
+/// Whether the first host can carry clearly more than the second one.
+bool isLarger(const HostCapacity &a, const HostCapacity &b);
+
 /// Entry of a host in the register, the list in the store of all hosts that serve callers.
 struct HostEntry
 {
@@ -558,6 +568,7 @@
     Endpoint m_peer;              // UDP address for heartbeats
     std::string m_run;            // process instance of the host
     std::uint64_t m_revision = 0; // store revision of the entry
+    HostCapacity m_capacity = {};
 };
 
 /// What the lease holder knows of a host that it hasn't heard of for a while. A host sends its
@@ -713,6 +724,7 @@
     Endpoint m_directory;                  // listens for address requests
     Endpoint m_peer;                       // UDP, heartbeats of other hosts
     Endpoint m_platform;                   // address of the platform's store
+    HostCapacity m_capacity;               // of this host's machine
     Millis m_stopTimeLimit = {8'000};      // ms, upper limit of a planned stop
     Millis m_leaseHandoverDelay = {3'000}; // ms, minimum between orders of two successive holders
     double m_retryRatio = 0.1;             // retries allowed for each request
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -27,6 +27,8 @@
     settings.m_addressLifetime = readTime(map, "address-keep-ms", settings.m_addressLifetime);
     settings.m_retryRatio = readReal(map, "retry-ratio", settings.m_retryRatio, 0);
     settings.m_retrySlack = readReal(map, "retry-slack", settings.m_retrySlack, 0);
+    settings.m_capacity.m_cores = readReal(map, "core-share", settings.m_capacity.m_cores, 0);
+    settings.m_capacity.m_linkMbps = readReal(map, "link-mbps", settings.m_capacity.m_linkMbps, 0);
     checkKeys(map);
     if (!file.m_faults.empty())
         return file.m_faults;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -335,9 +335,10 @@
     OriginRecordState m_originRecord;
     std::map<std::uint64_t, PendingOrigin *> m_pendingOrigins; // by the number of the question
     std::uint64_t m_lastOriginAsk = 0;
-    std::set<Relay *> m_relays; // callers' requests in progress
-    bool m_stopping = false;    // a planned stop has begun
-    Millis m_stopStartedAt;     // when the planned stop began; valid if m_stopping
+    std::optional<Millis> m_candidateSince; // since when this host could take a lease; empty: never
+    std::set<Relay *> m_relays;             // callers' requests in progress
+    bool m_stopping = false;                // a planned stop has begun
+    Millis m_stopStartedAt;                 // when the planned stop began; valid if m_stopping
 };
 
 std::unique_ptr<Gateway> makeGateway(const GatewaySettings &settings, std::string settingsPath,
@@ -477,9 +478,12 @@
 void broadcastHeartbeat(Gateway &gateway, bool resynchronized = false);
 
 /// Returns this host's position, from 0, among the hosts whose heartbeats arrive; the lease holder
-/// comes first, the others follow by name.
+/// comes first, then larger hosts, the others follow by name.
 int hostRank(const Gateway &gateway);
 
+/// Whether a host in the register can carry clearly more than this one.
+bool hasLargerHost(const Gateway &gateway);
+
 /// Returns the addresses of hosts that accept requests, for address answers.
 std::vector<Endpoint> callerAddresses(const Gateway &gateway);
 int hostCount(const Gateway &gateway);
--- a/src/process/hostregister.cpp
+++ b/src/process/hostregister.cpp
@@ -21,7 +21,9 @@
     return boost::json::object{{"data-centre", settings.m_dataCentre.m_text},
                                {"caller", toText(settings.m_caller)},
                                {"peer", toText(settings.m_peer)},
-                               {"run", gateway.m_run}};
+                               {"run", gateway.m_run},
+                               {"core-share", settings.m_capacity.m_cores},
+                               {"link-mbps", settings.m_capacity.m_linkMbps}};
 }
 
 std::string textAt(const boost::json::object &object, const char *key)
@@ -30,6 +32,12 @@
     return value && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
+double numberAt(const boost::json::object &object, const char *key)
+{
+    const auto *value = object.if_contains(key);
+    return value && value->is_number() ? value->to_number<double>() : 0;
+}
+
 std::optional<HostEntry> decodeHostEntry(const StoredObject &object)
 {
     if (!object.m_content.is_object())
@@ -39,8 +47,13 @@
     const auto peer = parseEndpoint(textAt(fields, "peer"));
     if (!caller || !peer)
         return {};
-    return HostEntry{{object.m_name}, {textAt(fields, "data-centre")}, *caller,
-                     *peer,           textAt(fields, "run"),           object.m_revision};
+    return HostEntry{{object.m_name},
+                     {textAt(fields, "data-centre")},
+                     *caller,
+                     *peer,
+                     textAt(fields, "run"),
+                     object.m_revision,
+                     {numberAt(fields, "core-share"), numberAt(fields, "link-mbps")}};
 }
 
 /// Creates or replaces this host's entry in the register; false if the store didn't confirm it.
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -45,6 +45,17 @@
         [&](const auto &host) { return now(gateway) - host.second < unregisteredHostWindow; });
 }
 
+/// Whether the other host comes before this one where one host does something for all: larger ones
+/// first, then by name.
+bool ranksBefore(const Gateway &gateway, const HostName &host, const Peer &peer)
+{
+    const HostCapacity &own = gateway.m_settings.m_capacity;
+    const HostCapacity &other = peer.m_entry.m_capacity;
+    if (isLarger(other, own))
+        return true;
+    return !isLarger(own, other) && host < gateway.m_settings.m_host;
+}
+
 /// Handles a heartbeat of the lease holder, which states how long the lease remains valid. A
 /// successor counts its waiting time from that, not from the time at which it first read the record
 /// in the store.
@@ -309,15 +320,21 @@
     sendToAllPeers(gateway, MessageKind::Lease, encodeHeartbeat(heartbeat));
 }
 
+bool hasLargerHost(const Gateway &gateway)
+{
+    return std::any_of(gateway.m_peers.begin(), gateway.m_peers.end(), [&](const auto &peer) {
+        return isLarger(peer.second.m_entry.m_capacity, gateway.m_settings.m_capacity);
+    });
+}
+
 int hostRank(const Gateway &gateway)
 {
-    const HostName &self = gateway.m_settings.m_host;
-    if (gateway.m_holder == self)
+    if (gateway.m_holder == gateway.m_settings.m_host)
         return 0;
     int rank = 0;
     for (const auto &[host, peer] : gateway.m_peers) {
         const bool ready = peer.m_ready && isPeerAlive(gateway, peer);
-        if (ready && (host < self || host == gateway.m_holder))
+        if (ready && (host == gateway.m_holder || ranksBefore(gateway, host, peer)))
             ++rank;
     }
     return rank;
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -127,12 +127,12 @@
 }
 
 Millis takeoverAttemptAt(const Lease &lease, const LeaseTiming &timing, const HostName &self,
-                         int rank)
+                         int rank, Millis headStart)
 {
     // Time for a write to the store and for the heartbeat that informs the other hosts of it.
     constexpr Millis rankDelay = {150};
     const Millis allowedAt = takeoverAllowedAt(lease, timing, self);
-    return wasLastHolder(lease, self) ? allowedAt : allowedAt + rankDelay * rank;
+    return wasLastHolder(lease, self) ? allowedAt : allowedAt + headStart + rankDelay * rank;
 }
 
 void confirmLease(Lease &lease, const LeaseTiming &timing, const LeaseRecord &record,
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -17,6 +17,11 @@
 /// Kept free at the end of a planned stop for releasing the lease.
 constexpr Millis releaseTimeReserve = {600};
 constexpr Millis startupSpread = {400}; // mean delay of the first step, except on the last holder
+/// Between the start of the first hosts and the first lease: by then the register lists all hosts.
+constexpr Millis firstLeaseWait = {2'000};
+/// A host waits so much longer for a free lease if the register has larger ones: the work of the
+/// holder fills a small host, which serves callers besides.
+constexpr Millis largerHostsHeadStart = {1'000};
 /// A renewal unanswered for longer than this makes the holder request an extension.
 constexpr Millis renewalOverdueAfter = {300};
 constexpr Millis initialTakeoverBackoff = {200};
@@ -197,6 +202,17 @@
         && now(gateway) - gateway.m_holderHeartbeatAt < holderSilenceLimit;
 }
 
+/// Whether no host has held a lease yet and the register may still lack larger hosts: the machines
+/// of a system start at about the same time.
+bool waitsForLargerHosts(const Gateway &gateway)
+{
+    if (gateway.m_settings.m_capacity.m_cores == 0 || gateway.m_lease.m_recordSeen)
+        return false;
+    const Millis wait
+        = hasLargerHost(gateway) ? firstLeaseWait + largerHostsHeadStart : firstLeaseWait;
+    return now(gateway) < *gateway.m_candidateSince + wait;
+}
+
 /// One step of a host without the lease: takes it over if the rules allow that.
 asio::awaitable<void> stepAsCandidate(Gateway &gateway)
 {
@@ -206,6 +222,10 @@
         = isReady(gateway) && gateway.m_hostEntryRevision > 0 && !gateway.m_stopping;
     if (!isCandidate || isOtherHolderAlive(gateway))
         co_return;
+    if (!gateway.m_candidateSince)
+        gateway.m_candidateSince = now(gateway);
+    if (waitsForLargerHosts(gateway))
+        co_return;
     if (knowsOlderEraOnly(gateway)) {
         co_await fetchLeaseRecord(gateway);
         co_return;
@@ -227,8 +247,10 @@
             co_await takeLease(gateway);
         co_return;
     }
-    const Millis attemptAt = takeoverAttemptAt(gateway.m_lease, gateway.m_leaseTiming,
-                                               machineIdentity(gateway), hostRank(gateway));
+    const Millis headStart = hasLargerHost(gateway) ? largerHostsHeadStart : Millis{0};
+    const Millis attemptAt
+        = takeoverAttemptAt(gateway.m_lease, gateway.m_leaseTiming, machineIdentity(gateway),
+                            hostRank(gateway), headStart);
     if (now(gateway) < std::max(attemptAt, gateway.m_nextTakeoverAt))
         co_return;
     gateway.m_takeoverBackoff
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -165,6 +165,12 @@
     return false;
 }
 
+bool isLarger(const HostCapacity &a, const HostCapacity &b)
+{
+    constexpr double clearly = 1.5;
+    return b.m_cores > 0 && a.m_cores >= clearly * b.m_cores && a.m_linkMbps >= b.m_linkMbps;
+}
+
 Millis registerReadInterval(int hosts)
 {
     constexpr Millis perHost = {5};
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -129,9 +129,37 @@
     CPPUNIT_TEST(hostIsRemovedOnlyAfterUnansweredProbes);
     CPPUNIT_TEST(lostDatagramsRemoveNoHost);
     CPPUNIT_TEST(pausedHolderRemovesNoHost);
+    CPPUNIT_TEST(largerHostsComeFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a small host that takes the lease, or reads lists for all, while larger ones
+    /// are there: the work of the holder would fill it. Pattern: a few large hosts among many small
+    /// ones.
+    void largerHostsComeFirst()
+    {
+        const HostCapacity large = {0.5, 200};
+        const HostCapacity small = {0.12, 20};
+        CPPUNIT_ASSERT(isLarger(large, small));
+        CPPUNIT_ASSERT(!isLarger(small, large));
+        CPPUNIT_ASSERT(!isLarger({0.5, 10}, small)); // more cores don't make up for its link
+        CPPUNIT_ASSERT(!isLarger(large, {}));        // not stated
+        TestGateway test;
+        Peer &peer = test.m_gateway->m_peers.at({"h1"}); // "h0" comes before it by name
+        peer.m_ready = true;
+        peer.m_receivedAt = now(*test.m_gateway);
+        CPPUNIT_ASSERT_EQUAL(0, hostRank(*test.m_gateway));
+        CPPUNIT_ASSERT(!hasLargerHost(*test.m_gateway));
+        test.m_gateway->m_settings.m_capacity = small;
+        peer.m_entry.m_capacity = large;
+        CPPUNIT_ASSERT_EQUAL(1, hostRank(*test.m_gateway));
+        CPPUNIT_ASSERT(hasLargerHost(*test.m_gateway));
+        test.m_gateway->m_settings.m_host = {"h2"};
+        test.m_gateway->m_settings.m_capacity = large;
+        peer.m_entry.m_capacity = small;
+        CPPUNIT_ASSERT_EQUAL(0, hostRank(*test.m_gateway));
+    }
+
     /// Guards against a host that is never removed, and one that is removed for its silence alone.
     void hostIsRemovedOnlyAfterUnansweredProbes()
     {
--- a/tests/unit/gatewaylease.cpp
+++ b/tests/unit/gatewaylease.cpp
@@ -440,16 +440,21 @@
     void lastHolderTriesFirstAfterAllHostsRestart()
     {
         constexpr int lastRank = 8;
+        constexpr Millis headStart = {1'000}; // of larger hosts
         Lease lease;
         observeLease(lease, otherRecord, 7, start);
         CPPUNIT_ASSERT(wasLastHolder(lease, {"other"}));
-        CPPUNIT_ASSERT_EQUAL(start.m_count,
-                             takeoverAttemptAt(lease, timing, {"other"}, lastRank).m_count);
+        CPPUNIT_ASSERT_EQUAL(
+            start.m_count,
+            takeoverAttemptAt(lease, timing, {"other"}, lastRank, headStart).m_count);
         CPPUNIT_ASSERT(!wasLastHolder(lease, {"me"}));
         const Millis allowedAt = takeoverAllowedAt(lease, timing, {"me"});
         CPPUNIT_ASSERT_EQUAL(allowedAt.m_count,
-                             takeoverAttemptAt(lease, timing, {"me"}, 0).m_count);
-        CPPUNIT_ASSERT(takeoverAttemptAt(lease, timing, {"me"}, 1) > allowedAt);
+                             takeoverAttemptAt(lease, timing, {"me"}, 0, {0}).m_count);
+        CPPUNIT_ASSERT(takeoverAttemptAt(lease, timing, {"me"}, 1, {0}) > allowedAt);
+        // A host that knows larger ones leaves the lease to them first.
+        CPPUNIT_ASSERT_EQUAL((allowedAt + headStart).m_count,
+                             takeoverAttemptAt(lease, timing, {"me"}, 0, headStart).m_count);
     }
 
     /// During a store outage the holder continues on extensions. A host that took the lease over
