--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -27,8 +27,10 @@
 constexpr double runningModelCost = 3'000;    // ms; an unload waits until the model's requests end
 constexpr double lastReplicaCost = 400;       // ms; a request may soon need the only replica again
 constexpr double requestRateCost = 4'000;     // ms for each request per second to the evicted model
-constexpr Millis minSwapTime = {1'200};       // shortest time for an unload and a load from disk
-constexpr double unloadCost = 350;            // ms, duration of an unload
+constexpr double minWorthwhileEviction
+    = 4'500;                            // ms; even for one caller: a model with few requests
+constexpr Millis minSwapTime = {1'200}; // shortest time for an unload and a load from disk
+constexpr double unloadCost = 350;      // ms, duration of an unload
 constexpr double infiniteCost = std::numeric_limits<double>::infinity(); // the step can't start now
 
 /// A model that may be evicted from a server.
@@ -224,6 +226,13 @@
     addOrder(planner, order, at);
 }
 
+/// What a further replica of a model may cost others.
+struct ReplicaLimits
+{
+    double m_maxCost = infiniteCost;         // of the load and of the eviction that it needs
+    double m_maxEvictionCost = infiniteCost; // of the eviction alone
+};
+
 /// A possible placement of a further replica of a model.
 struct ReplicaOption
 {
@@ -234,7 +243,7 @@
 
 /// Replaces the best option if a load on that server, which takes `duration`, costs less.
 void considerServer(const Planner &planner, const EngineModel &model, std::size_t at,
-                    Millis duration, ReplicaOption &best)
+                    Millis duration, double maxEvictionCost, ReplicaOption &best)
 {
     const PlanServer &server = serverAt(planner, at);
     double cost = static_cast<double>(duration.m_count);
@@ -243,6 +252,8 @@
     Eviction eviction;
     if (!fits(planner, at, model)) {
         eviction = cheapestEviction(planner, at, model);
+        if (eviction.m_cost > maxEvictionCost)
+            return;
         cost += eviction.m_cost;
     }
     if (cost >= best.m_cost || holdsModel(server.m_serverStatus, model.m_name, {}))
@@ -251,14 +262,15 @@
 }
 
 ReplicaOption cheapestOption(const Planner &planner, const EngineModel &model,
-                             const VersionFilter &filter)
+                             double maxEvictionCost, const VersionFilter &filter)
 {
     ReplicaOption best;
     const ModelIndex *index = findModel(planner.m_index, model.m_name);
     for (const std::size_t at : index->m_copiesOn) {
         const PlanServer &server = serverAt(planner, at);
         if (passes(filter, server))
-            considerServer(planner, model, at, loadTime(model, server.m_serverStatus), best);
+            considerServer(planner, model, at, loadTime(model, server.m_serverStatus),
+                           maxEvictionCost, best);
     }
     if (!planner.m_storeLoadAllowed)
         return best;
@@ -267,18 +279,18 @@
         if (copy != index->m_copiesOn.end() && *copy == at)
             ++copy;
         else if (passes(filter, serverAt(planner, at)))
-            considerServer(planner, model, at, model.m_storeLoadTime, best);
+            considerServer(planner, model, at, model.m_storeLoadTime, maxEvictionCost, best);
     }
     return best;
 }
 
-/// Orders the first step of the cheapest placement of a further replica, if any costs at most
-/// `maxCost`: the load, or the unload that makes room for it.
-void addReplica(Planner &planner, const EngineModel &model, const char *reason, double maxCost,
-                const VersionFilter &filter)
+/// Orders the first step of the cheapest placement of a further replica within the limits, if there
+/// is any: the load, or the unload that makes room for it.
+void addReplica(Planner &planner, const EngineModel &model, const char *reason,
+                const ReplicaLimits &limits, const VersionFilter &filter)
 {
-    const ReplicaOption option = cheapestOption(planner, model, filter);
-    if (!option.m_server || option.m_cost > maxCost)
+    const ReplicaOption option = cheapestOption(planner, model, limits.m_maxEvictionCost, filter);
+    if (!option.m_server || option.m_cost > limits.m_maxCost)
         return;
     if (option.m_victim.m_text.empty()) {
         loadModel(planner, *option.m_server, model.m_name, reason);
@@ -287,6 +299,13 @@
     makeRoom(planner, *option.m_server, option.m_victim, model.m_name, reason);
 }
 
+/// What an eviction for the model may cost. Its callers gain what those of the evicted models lose,
+/// so that a busy model isn't evicted for a few callers of a rare one.
+double worthwhileEviction(const ModelDemand &demand)
+{
+    return minWorthwhileEviction + requestRateCost * (demand.m_waiting + demand.m_rate);
+}
+
 /// Continues swaps: where an unload has made room for a model, orders the load of that model, or
 /// the next unload if the room isn't enough yet.
 void finishSwaps(Planner &planner)
@@ -301,8 +320,11 @@
         const bool mayLoad
             = planner.m_storeLoadAllowed || hasLocalCopy(server.m_serverStatus, model->m_name);
         if (!fits(planner, at, *model)) {
+            const ModelIndex *index = findModel(planner.m_index, model->m_name);
+            const double worthwhile
+                = index->m_demand ? worthwhileEviction(*index->m_demand) : minWorthwhileEviction;
             const Eviction eviction = cheapestEviction(planner, at, *model);
-            if (!eviction.m_first.m_text.empty())
+            if (!eviction.m_first.m_text.empty() && eviction.m_cost <= worthwhile)
                 makeRoom(planner, at, eviction.m_first, model->m_name, "more_room");
         } else if (mayLoad) {
             loadModel(planner, at, model->m_name, "room_made");
@@ -511,7 +533,8 @@
         if (!isLoaded(planner, demand, demand.m_adapter, index, filter))
             loadAdapter(planner, demand, index, filter);
     } else if (!modelLoaded && !isPending(planner, index, filter)) {
-        addReplica(planner, *index.m_published, "callers_wait", infiniteCost, filter);
+        addReplica(planner, *index.m_published, "callers_wait",
+                   {infiniteCost, worthwhileEviction(demand)}, filter);
     }
 }
 
@@ -564,7 +587,7 @@
             continue;
         const int replicas = replicasOf(planner, demand.m_model);
         if (replicas > 0 && replicas < replicasNeeded(planner, demand))
-            addReplica(planner, *model, "high_load", maxExtraReplicaCost, {});
+            addReplica(planner, *model, "high_load", {maxExtraReplicaCost, infiniteCost}, {});
     }
     return planner.m_commands;
 }
--- a/tests/unit/gatewayplacement.cpp
+++ b/tests/unit/gatewayplacement.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(rareModelsAreSwappedInWithinTheWaitLimit);
     CPPUNIT_TEST(rareModelsOfTwoSizesAreSwappedIn);
     CPPUNIT_TEST(swapEvictsAsManyModelsAsItNeeds);
+    CPPUNIT_TEST(busyModelIsNotEvictedForARareOne);
     CPPUNIT_TEST(planAtDesignSizeTakesAFractionOfTheProcessor);
     CPPUNIT_TEST(planningLeavesMostOfTheEventLoopToOtherWork);
     CPPUNIT_TEST_SUITE_END();
@@ -517,6 +518,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), textOf(planPlacement(plan)));
     }
 
+    /// Guards against a busy model whose only replica is evicted for one caller of a rare model, as
+    /// no other server is free at that moment: all its callers would wait then. Pattern: demand
+    /// moves to other models while rare ones are asked for.
+    void busyModelIsNotEvictedForARareOne()
+    {
+        ModelDemand busy;
+        busy.m_model = {"m0"};
+        busy.m_rate = 6;
+        ModelDemand alsoBusy = busy;
+        alsoBusy.m_model = {"m1"};
+        auto plan = input(m_limits, {makeServer("a", {"m0", "m1"}, {"m2"})},
+                          {waitingFor("m2"), busy, alsoBusy});
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf(planPlacement(plan)));
+        // The second step of a swap that has begun is weighed again.
+        plan.m_servers[0].m_pendingModel = {"m2"};
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf(planPlacement(plan)));
+        // For many callers it is worthwhile, and a model with few requests is evicted for one.
+        plan.m_servers[0].m_pendingModel = {};
+        plan.m_demands[0] = waitingFor("m2", 9);
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m0 "), textOf(planPlacement(plan)));
+        plan.m_demands = {waitingFor("m2"), busy};
+        CPPUNIT_ASSERT_EQUAL(std::string("-a:m1 "), textOf(planPlacement(plan)));
+    }
+
     /// Guards against a lease holder whose planning fills its processor, so that it handles changes
     /// of servers and of the configuration seconds late while it forwards requests. A plan is due
     /// every 400 ms, and a host may use 3.3 % of a core for control.
