--- a/src/gateway.h
+++ b/src/gateway.h
@@ -17,7 +17,7 @@
 //   3. Requests         request metadata, server selection, retries
 //   4. Lease            which host may send orders to model servers
 //   5. Placement        which models to load and unload, and where
-//   6. Hosts            hosts that serve callers, as registered in the store
+//   6. Hosts            hosts that serve callers, as registered in the store: hosts.h
 //   7. Protocol         translation between external messages and the structs above
 //   8. Settings         what a host reads from its settings file
 //
@@ -28,6 +28,7 @@
 #include "apricot.h"
 #include "backendservers.h"
 #include "connection/http.h"
+#include "hosts.h"
 
 #include <boost/json/value.hpp>
 #include <random>
@@ -549,66 +550,7 @@
 // 6. Hosts
 // ---------------------------------------------------------------------------------------------
 
-/// What the machine of a host can carry; 0: not stated.
-struct HostCapacity
-{
-    double m_cores = 0;    // of one core, the share that the host may use
-    double m_linkMbps = 0; // of the machine's own link
-};
-
-/// Whether the first host can carry clearly more than the second one.
-bool isLarger(const HostCapacity &a, const HostCapacity &b);
-
-/// Entry of a host in the register, the list in the store of all hosts that serve callers.
-struct HostEntry
-{
-    HostName m_host;
-    DataCentre m_dataCentre;
-    Endpoint m_caller;            // address for callers' requests
-    Endpoint m_peer;              // UDP address for heartbeats
-    std::string m_run;            // process instance of the host
-    std::uint64_t m_revision = 0; // store revision of the entry
-    HostCapacity m_capacity = {};
-};
-
-/// What the lease holder knows of a host that it hasn't heard of for a while. A host sends its
-/// heartbeats to a few hosts at a time, so in a large fleet silence alone says little: the holder
-/// asks for a heartbeat before it takes a host for gone.
-struct HostSilence
-{
-    Millis m_lastHeard;
-    int m_probes = 0;  // sent since, none of them answered
-    Millis m_probedAt; // valid if m_probes is above 0
-};
-
-enum class SilenceStep : std::uint8_t {
-    None,
-    Probe,  // ask the host for a heartbeat
-    Remove, // the host is gone
-};
-
-constexpr Millis probeAfterSilence = {5'000};
-constexpr Millis probeInterval = {300};
-/// With one datagram in ten lost, all probes of a host that lives go unanswered once in half a
-/// million times.
-constexpr int probesBeforeRemoval = 8;
-/// Probes count together if they are at most so far apart: after a longer pause the holder hasn't
-/// read what arrived meanwhile.
-constexpr Millis maxProbeGap = {1'500};
-constexpr Millis removalAfterSilence = {8'000};
-
-SilenceStep nextStep(const HostSilence &silence, Millis time);
-
-/// To be called when a probe is sent.
-void recordProbe(HostSilence &silence, Millis time);
-
-/// How long a host waits after a change in the register before it looks for the next ones. Each
-/// change is read by each host, so that with many hosts changes have to be read together; but a new
-/// host must be known well before its wait for the lease is over.
-Millis registerReadInterval(int hosts);
-
-/// Hosts in the order in which rendezvous hashing ranks them for the key.
-std::vector<HostName> rankHosts(std::string_view key, const std::vector<HostName> &hosts);
+// See hosts.h.
 
 // ---------------------------------------------------------------------------------------------
 // 7. Protocol
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -175,7 +175,7 @@
     {
         constexpr double lost = 0.1;
         for (const int hosts : {9, 72, 195, 400, 1'000}) {
-            const Millis interval = {400 * std::max(hosts / 8, 1)};
+            const Millis interval = Millis{400} * std::max(hosts / 8, 1);
             for (std::uint64_t seed = 1; seed <= 20; ++seed)
                 CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
                                      playSilence(seed, interval, lost).m_removedAt.m_count);
