--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -102,6 +102,17 @@
     return std::nullopt;
 }
 
+/// Removes this host's record of streams at the end of a planned stop, since the host may never
+/// return. While a service has several versions the record stays: its streams may be taken up.
+asio::awaitable<void> removeOwnRecord(Gateway &gateway)
+{
+    for (const auto &[service, versions] : gateway.m_serviceVersions.m_listedAt) {
+        if (hasSeveralVersions(gateway.m_serviceVersions, service))
+            co_return;
+    }
+    co_await removeOriginRecord(gateway, gateway.m_settings.m_host);
+}
+
 asio::awaitable<void> logExceptions(const char *name, asio::awaitable<void> work)
 {
     try {
@@ -254,6 +265,7 @@
             break;
         co_await pauseFor(gateway, stopPollInterval);
     }
+    co_await removeOwnRecord(gateway);
     logEvent("stopped", {{"in_flight", std::to_string(gateway.m_relays.size())}});
     gateway.m_io.stop();
 }
--- a/src/process/originrecords.cpp
+++ b/src/process/originrecords.cpp
@@ -173,16 +173,19 @@
 asio::awaitable<void> keepOriginRecord(Gateway &gateway)
 {
     co_await readOriginRecords(gateway);
+    constexpr Millis firstPause = {50}; // after a write that failed
     constexpr Millis longestPause = {1'000};
-    Millis pause = {50};
+    Millis pause = firstPause;
     while (true) {
         co_await sleepUntilWoken(*gateway.m_originRecord.m_trigger, checkInterval);
-        if (!gateway.m_originRecord.m_read || gateway.m_stopping)
+        if (!gateway.m_originRecord.m_read)
             continue;
-        if (co_await updateRecord(gateway))
-            pause = {50};
-        else
-            co_await backOff(gateway, pause, longestPause);
+        if (co_await updateRecord(gateway)) {
+            pause = firstPause;
+            continue;
+        }
+        co_await backOff(gateway, pause, longestPause);
+        wake(*gateway.m_originRecord.m_trigger);
     }
 }
 
