--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -35,6 +35,7 @@
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
+    Counter *m_connectFailures = nullptr;
     Counter *m_serverCrashes = nullptr;
     Gauge *m_quarantinedParts = nullptr;
     Gauge *m_quarantinedRequests = nullptr;
@@ -113,6 +114,8 @@
     made->m_forwards = makeCounter(registry, "apricot_forwards_total", "Requests sent to a home");
     made->m_idle = makeCounter(registry, "apricot_idle_accelerator_seconds_total",
                                "Time that loaded models of owned cells had no request");
+    made->m_connectFailures = makeCounter(registry, "apricot_connect_failures_total",
+                                          "Connections to servers that could not be established");
     made->m_serverCrashes
         = makeCounter(registry, "apricot_server_crashes_total",
                       "Crashes of servers with a request here that may be the cause");
@@ -175,6 +178,11 @@
     metrics.m_registry->m_forwards->Increment();
 }
 
+void countConnectFailure(Metrics &metrics)
+{
+    metrics.m_registry->m_connectFailures->Increment();
+}
+
 void countServerCrash(Metrics &metrics)
 {
     metrics.m_registry->m_serverCrashes->Increment();
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -63,6 +63,9 @@
 void countReceivedMessage(Metrics &metrics, std::size_t bytes);
 void countForward(Metrics &metrics);
 
+/// Counts a connection to a backend server that could not be established.
+void countConnectFailure(Metrics &metrics);
+
 /// Counts the crash of a model server with a request of this host that may have caused it.
 void countServerCrash(Metrics &metrics);
 
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -227,6 +227,20 @@
     co_return co_await passCompleteAnswer(relay, id, std::move(response));
 }
 
+/// Logs and counts a connection to a server that could not be established. The path or the server
+/// may be at fault; a series at all servers tells that it is the path.
+void recordConnectFailure(const Relay &relay, const InstanceId &id, const Failure &failure,
+                          Millis took)
+{
+    countConnectFailure(relay.m_gateway->m_metrics);
+    logEvent("connect_failed",
+             {{"id", relay.m_metadata.m_id},
+              {"server", id.m_text},
+              {"candidates", std::to_string(relay.m_choice.m_candidates)},
+              {"why", failure.m_detail},
+              {"took_ms", std::to_string(took.m_count)}});
+}
+
 } // namespace
 
 asio::awaitable<SendResult> sendTo(Relay &relay, const InstanceId &id)
@@ -240,10 +254,12 @@
     const Endpoint endpoint = known->m_server.m_endpoint;
     relay.m_serverSoftware = softwareIdOf(known->m_server);
     const RunningCount runningCount(relay, id);
+    const Millis connectBegan = now(gateway);
     const Millis connectBy = std::min(connectTimeout, remainingTime(relay));
     auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, connectBy, false);
     if (!ok(opened)) {
         recordResult(relay, id, false);
+        recordConnectFailure(relay, id, std::get<Failure>(opened), now(gateway) - connectBegan);
         co_return SendResult{SendOutcome::NotSent, std::get<Failure>(opened)};
     }
     if (callerDisconnected(relay) || remainingTime(relay) <= minTimeToSend)
