--- a/src/apricot.h
+++ b/src/apricot.h
@@ -187,6 +187,7 @@
     Internal,
     PartQuarantined,
     RequestQuarantined,
+    ReachedElsewhere,
 };
 
 /// Whether a backend server ran the request, as far as this host knows. NotRun is a guarantee: it
--- a/src/backendservers.h
+++ b/src/backendservers.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "apricot.h"
+#include "serverpaths.h"
 
 #include <set>
 
@@ -112,6 +113,7 @@
     std::map<std::string, Millis> m_refusedUntil; // after a refusal: not chosen, by "model/adapter"
     ServerStatements m_said;
     Millis m_noPermitUntil; // not chosen: the next permit for a request is due at this time
+    ServerPath m_path;      // of this host to the server
 };
 
 /// Whether the server must get no new request: its entry, or an answer of it, says that it leaves.
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -339,6 +339,13 @@
     co_return !error;
 }
 
+std::string remoteIp(const HttpExchange &exchange)
+{
+    boost::system::error_code error;
+    const auto remote = exchange.m_session->m_stream.socket().remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
 asio::awaitable<bool> writeChunk(HttpExchange &exchange, std::string_view bytes)
 {
     if (bytes.empty())
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -90,6 +90,9 @@
     bool m_aborted = false;          // the response was truncated and the connection shut down
 };
 
+/// IP address that the request came from; empty if the connection is gone.
+std::string remoteIp(const HttpExchange &exchange);
+
 /// Sends a complete response. This and the stream functions return false if the write failed: the
 /// caller can't be reached any more.
 asio::awaitable<bool> sendResponse(HttpExchange &exchange, const HttpResponse &response);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -175,6 +175,15 @@
     std::optional<std::string> m_resumeAfter; // id of the last event that the caller has
 };
 
+/// Metadata that a host adds to a request that it sends through another host, which chooses the
+/// server.
+struct HostForwardMetadata
+{
+    Millis m_timeAllowed;                 // time left until the deadline
+    std::optional<std::string> m_resumes; // id of the attempt whose first event began the stream
+    std::optional<std::string> m_resumeAfter; // id of the last event that the caller has
+};
+
 /// Metadata of a server's answer, from its header fields.
 struct AnswerMetadata
 {
@@ -224,6 +233,7 @@
     DataCentre m_localDataCentre; // data centre of this host
     std::set<InstanceId> m_triedServers;  // servers that this request was already sent to
     std::optional<SoftwareId> m_software; // only servers of this version; empty: of any
+    bool m_alsoCutOff = false;            // also servers that this host doesn't reach
 };
 
 struct ServerChoice
@@ -231,6 +241,7 @@
     InstanceId m_server;  // empty: no server is available that has the model
     double m_load = 0;    // expected load: requests divided by slots
     int m_candidates = 0; // servers that can execute the request
+    int m_cutOff = 0;     // servers that could, but that this host doesn't reach
     /// When the first of the servers that could execute the request, but for their limits, may get
     /// another one; empty: there are none.
     std::optional<Millis> m_permitAt;
@@ -624,6 +635,7 @@
     // requests of callers
     RequestMetadata (*readCall)(const std::vector<HttpField> &fields);
     void (*writeForward)(std::vector<HttpField> &fields, const ForwardMetadata &metadata);
+    void (*writeHostForward)(std::vector<HttpField> &fields, const HostForwardMetadata &metadata);
     AnswerMetadata (*readAnswer)(const HttpHead &head);
     std::optional<AddressRequest> (*readAddressRequest)(const HttpRequest &request);
     HttpResponse (*writeAddresses)(const std::vector<Endpoint> &hosts, Millis lifetime);
@@ -664,7 +676,7 @@
     Endpoint m_ready;                      // listens for readiness checks
     Endpoint m_metrics;                    // listens for metrics requests; port 0: none
     Endpoint m_directory;                  // listens for address requests
-    Endpoint m_peer;                       // UDP, heartbeats of other hosts
+    Endpoint m_peer;                       // UDP: heartbeats of other hosts; TCP: their requests
     Endpoint m_platform;                   // address of the platform's store
     HostCapacity m_capacity;               // of this host's machine
     Millis m_stopTimeLimit = {8'000};      // ms, upper limit of a planned stop
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -191,6 +191,9 @@
     gateway->m_servers.m_io = &gateway->m_io;
     gateway->m_servers.m_ackTimeout = serverAckTimeout;
     gateway->m_servers.m_maxIdleTime = serverConnectionIdleTime;
+    gateway->m_hosts.m_io = &gateway->m_io;
+    gateway->m_hosts.m_ackTimeout = serverAckTimeout;
+    gateway->m_hosts.m_maxIdleTime = serverConnectionIdleTime;
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
@@ -218,6 +221,9 @@
     if (!failure && settings.m_metrics.m_port != 0)
         failure
             = listenOn(gateway, settings.m_metrics, answerMetrics, plain, gateway.m_metricsPort);
+    if (!failure)
+        failure = listenOn(gateway, settings.m_peer, relayForwardedCall, gateway.m_callerOptions,
+                           gateway.m_hostPort);
     if (!failure)
         failure = bindUdp(gateway);
     if (failure)
@@ -235,6 +241,7 @@
     begin(gateway, "status_updates", sendStatusUpdates(gateway));
     begin(gateway, "lease", maintainLease(gateway));
     begin(gateway, "placement", runPlacement(gateway));
+    begin(gateway, "server_paths", watchServerPaths(gateway));
     begin(gateway, "watch_loop", watchLoop(gateway));
     begin(gateway, "watch_peer_traffic", watchPeerTraffic(gateway));
     logEvent("started", {{"run", gateway.m_run}, {"caller", toText(settings.m_caller)}});
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -84,6 +84,27 @@
     std::map<ModelDemandKey, ModelDemand> m_modelDemands;   // demand of its callers
     std::map<std::pair<InstanceId, ModelName>, int> m_uses; // its running requests
     Millis m_demandReceivedAt; // when the demand and uses above were received
+    std::set<std::uint64_t>
+        m_unreachableServices; // by serviceHash(): it reaches no server of these
+    int m_forwarded = 0;       // requests of this host that are sent through it now
+    Millis m_notAskedUntil;    // it took no connection: no request is sent through it until then
+};
+
+/// This host's paths to servers, beside what KnownServer holds of each.
+struct PathWatch
+{
+    int m_probing = 0;                              // probes in progress
+    int m_suspicions = 0;                           // see PathSurvey
+    Millis m_heardAt;                               // when any server was last heard of
+    std::map<ServiceName, Millis> m_serviceHeardAt; // the same by service
+    Millis m_lastLossAt;                            // when a path was newly lost
+    /// Services of which this host reaches no server, though others may, with the time of the last
+    /// loss.
+    std::map<ServiceName, Millis> m_unreachable;
+    int m_lost = 0; // since the last log line: paths newly lost
+    int m_regained = 0;
+    std::string m_some; // names of the first few servers
+    Millis m_loggedAt;
 };
 
 /// Changes among the other hosts that were not logged yet: in a large fleet a line for each one
@@ -275,8 +296,10 @@
     Metrics m_metrics;
     std::mt19937_64 m_random;
 
-    HttpPool m_store;         // connections to the platform's store
-    HttpPool m_servers;       // connections to backend servers
+    HttpPool m_store;   // connections to the platform's store
+    HttpPool m_servers; // connections to backend servers
+    HttpPool m_hosts;   // connections to other hosts
+    PathWatch m_paths;
     BodyBudget m_answerBytes; // answers read completely before they are passed on
     StoreHealth m_storeHealth;
     std::optional<std::uint64_t> m_storeEra; // highest that the store stated; empty: no answer yet
@@ -325,7 +348,8 @@
     std::shared_ptr<TcpListener> m_directory;
     std::shared_ptr<TcpListener> m_ready;
     std::shared_ptr<TcpListener> m_metricsPort;
-    Quarantine m_quarantine; // requests and prompt parts that crash servers
+    std::shared_ptr<TcpListener> m_hostPort; // at m_peer: requests that other hosts send
+    Quarantine m_quarantine;                 // requests and prompt parts that crash servers
     CrashNews m_crashNews;
     Permits m_permits;
     InstanceId m_lastLeavingSent; // last server that leaves sent in rotation
@@ -396,6 +420,10 @@
 /// Handles one request of a caller, up to the end of its answer.
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange);
 
+/// Handles a request that another host sends because it reaches none of its servers. It is handled
+/// like one of a caller, but never sent to a third host.
+asio::awaitable<void> relayForwardedCall(Gateway &gateway, HttpExchange &exchange);
+
 /// Ends the exchanges with servers, and the waits for a model, of the requests with the cause,
 /// unless their answers have begun to stream.
 void endRequestsWith(Gateway &gateway, CrashCause cause);
@@ -467,6 +495,9 @@
 /// servers whose grace period has ended, and demand entries that are idle.
 asio::awaitable<void> sendHeartbeats(Gateway &gateway);
 
+/// Whether a heartbeat of that host was received recently.
+bool isPeerAlive(const Gateway &gateway, const Peer &peer);
+
 /// Asks a host for a heartbeat.
 void probeHost(Gateway &gateway, Peer &peer);
 
@@ -574,6 +605,29 @@
 void recordStatements(Gateway &gateway, const InstanceId &server, const AnswerMetadata &metadata,
                       Millis sentAt);
 
+// --- pathwatch.cpp: this host's paths to the servers ---
+
+/// Records that a server accepted a connection of this host or sent it bytes.
+void recordPathHeard(Gateway &gateway, KnownServer &known);
+
+/// Records that this host could establish no connection to the server.
+void recordPathLost(Gateway &gateway, KnownServer &known);
+
+/// Whether a request to the service may be sent on an idle connection.
+bool mayReuseConnections(const Gateway &gateway, const ServiceName &service);
+
+/// Identifies a service in heartbeats.
+std::uint64_t serviceHash(const ServiceName &service);
+
+/// Whether this host reaches no model server and other hosts may; not before it is sure.
+bool isCutFromModelServers(const Gateway &gateway);
+
+/// Begins the probes that are due, and takes over what they showed.
+void checkServerPaths(Gateway &gateway);
+
+/// Calls the above in short intervals.
+asio::awaitable<void> watchServerPaths(Gateway &gateway);
+
 // --- permits.cpp: servers that name a limit for the requests of all hosts ---
 
 /// Takes over what an answer of the server told of its limit. The other hosts learn of it with the
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -73,6 +73,9 @@
 /// Takes over which servers leave: a hint that comes sooner than the store's.
 void applyLeavingServers(Gateway &gateway, const wire::BeatT &heartbeat);
 
+/// Adds the services of which this host reaches no server.
+void addUnreachableServices(const Gateway &gateway, wire::BeatT &heartbeat);
+
 /// Updates the gauges of servers that leave, are paused or named a limit.
 void updateStatementCounts(Gateway &gateway);
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -29,12 +29,6 @@
 constexpr int heartbeatFanout = 8; // hosts that each periodic heartbeat goes to
 constexpr std::size_t maxDatagramBytes = 60'000;
 
-/// Whether a heartbeat of that host was received recently.
-bool isPeerAlive(const Gateway &gateway, const Peer &peer)
-{
-    return now(gateway) - peer.m_receivedAt < hostSilenceLimit;
-}
-
 /// Whether a ready host that isn't in the register, as known here, has sent a heartbeat recently.
 /// An extension needs the grant of every host that could take the lease over, and such a host
 /// doesn't get the extension request.
@@ -173,6 +167,8 @@
     peer.m_probes = 0;
     peer.m_ready = heartbeat.ready;
     peer.m_fencingToken = heartbeat.fence;
+    peer.m_unreachableServices
+        = {heartbeat.unreachable_services.begin(), heartbeat.unreachable_services.end()};
     if (heartbeat.fence > 0)
         handleHolderHeartbeat(gateway, peer, heartbeat);
     if (heartbeat.ask > 0)
@@ -216,6 +212,7 @@
     heartbeat.routes = gateway.m_routes ? gateway.m_routes->m_version : 0;
     heartbeat.servers_digest = digestOf(gateway.m_serverTable);
     heartbeat.servers_revision = gateway.m_serverTable.m_revision;
+    addUnreachableServices(gateway, heartbeat);
     return heartbeat;
 }
 
@@ -258,6 +255,11 @@
     return true;
 }
 
+bool isPeerAlive(const Gateway &gateway, const Peer &peer)
+{
+    return now(gateway) - peer.m_receivedAt < hostSilenceLimit;
+}
+
 asio::awaitable<void> receiveHeartbeats(Gateway &gateway)
 {
     std::string bytes(maxDatagramBytes, '\0');
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -32,6 +32,7 @@
     std::array<Histogram *, latencyKindCount> m_latencies = {}; // by LatencyKind
     Family<Counter> *m_orders = nullptr;
     Family<Counter> *m_platform = nullptr;
+    Family<Counter> *m_pathProbes = nullptr;
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
@@ -101,6 +102,10 @@
                             .Name("apricot_platform_calls_total")
                             .Help("Calls to the platform, by call and outcome")
                             .Register(registry);
+    made->m_pathProbes = &BuildCounter()
+                              .Name("apricot_path_probes_total")
+                              .Help("Probes of paths to servers, by outcome")
+                              .Register(registry);
     made->m_retries = makeCounter(registry, "apricot_retries_total", "Attempts after the first");
     auto &peerBytes = BuildCounter()
                           .Name("apricot_peer_bytes_total")
@@ -111,7 +116,8 @@
         made->m_peerBytesSent.at(kind) = &peerBytes.Add({{"direction", "sent"}, {"kind", name}});
     }
     made->m_peerBytesReceived = &peerBytes.Add({{"direction", "received"}});
-    made->m_forwards = makeCounter(registry, "apricot_forwards_total", "Requests sent to a home");
+    made->m_forwards
+        = makeCounter(registry, "apricot_forwards_total", "Requests sent to another host");
     made->m_idle = makeCounter(registry, "apricot_idle_accelerator_seconds_total",
                                "Time that loaded models of owned cells had no request");
     made->m_connectFailures = makeCounter(registry, "apricot_connect_failures_total",
@@ -178,6 +184,11 @@
     metrics.m_registry->m_forwards->Increment();
 }
 
+void countPathProbe(Metrics &metrics, bool reached)
+{
+    metrics.m_registry->m_pathProbes->Add({{"outcome", reached ? "reached" : "lost"}}).Increment();
+}
+
 void countConnectFailure(Metrics &metrics)
 {
     metrics.m_registry->m_connectFailures->Increment();
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -61,8 +61,13 @@
 
 /// Counts bytes of a message received from another host.
 void countReceivedMessage(Metrics &metrics, std::size_t bytes);
+
+/// Counts a request that is sent to another host.
 void countForward(Metrics &metrics);
 
+/// Counts a probe of the path to a backend server.
+void countPathProbe(Metrics &metrics, bool reached);
+
 /// Counts a connection to a backend server that could not be established.
 void countConnectFailure(Metrics &metrics);
 
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -67,6 +67,7 @@
     known.m_said = {};
     known.m_noPermitUntil = {};
     known.m_refusedUntil.clear();
+    known.m_path.m_suspected = true; // it may be there again, or elsewhere
     if (known.m_statusUpdate
         && known.m_statusUpdate->m_startUnixMs != known.m_server.m_serverStatus.m_startUnixMs)
         known.m_statusUpdate.reset();
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -130,6 +130,11 @@
         }
         if (input.m_triedServers.contains(id) || recentlyRefused(known, input, time))
             continue;
+        if (isLost(known.m_path)) {
+            choice.m_cutOff += isCutOff(known.m_path, time) ? 1 : 0;
+            if (!input.m_alsoCutOff)
+                continue;
+        }
         if (time < known.m_noPermitUntil) {
             choice.m_permitAt = std::min(choice.m_permitAt.value_or(known.m_noPermitUntil),
                                          known.m_noPermitUntil);
--- a/src/request/errors.cpp
+++ b/src/request/errors.cpp
@@ -49,6 +49,8 @@
          "requests with a part of this prompt crashed backend servers"},
         {RequestQuarantined, "request_quarantined", 503, true, NotRun,
          "this request crashed backend servers"},
+        {ReachedElsewhere, "reached_elsewhere", 421, false, NotRun,
+         "this host can't have the request of another host executed"},
     };
     return table;
 }
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -24,6 +24,8 @@
     void add(int change)
     {
         if (KnownServer *known = knownServer(m_gateway.m_serverTable, m_server)) {
+            if (change > 0)
+                recordSending(known->m_path, known->m_inFlight, now(m_gateway));
             known->m_inFlight = std::max(known->m_inFlight + change, 0);
             if (!m_key.m_model.m_text.empty())
                 known->m_running[m_key.m_model]
@@ -69,15 +71,30 @@
 /// Binds the stream to the software version of the server that sent its first event.
 asio::awaitable<void> recordVersion(Relay &relay)
 {
+    if (!relay.m_viaHost.m_text.empty()) { // that host has recorded it
+        relay.m_streamBegunElsewhere = !relay.m_software;
+        co_return;
+    }
     if (!relay.m_software)
         relay.m_software = relay.m_serverSoftware;
     co_await announceOrigin(*relay.m_gateway, streamOf(relay), relay.m_service, *relay.m_software);
 }
 
+/// Records that the server which the request was sent to answers.
+void recordHeardFrom(const Relay &relay)
+{
+    if (!relay.m_viaHost.m_text.empty())
+        return;
+    Gateway &gateway = *relay.m_gateway;
+    if (KnownServer *known = knownServer(gateway.m_serverTable, relay.m_choice.m_server))
+        recordPathHeard(gateway, *known);
+}
+
 /// Records the latency of the first event and the longest gap between events.
 void recordEvent(Relay &relay)
 {
     const Millis time = now(*relay.m_gateway);
+    recordHeardFrom(relay);
     if (!relay.m_answer.m_firstEventAt)
         relay.m_answer.m_firstEventAt = time;
     else if (time - *relay.m_answer.m_firstEventAt >= survivalTime)
@@ -168,17 +185,19 @@
 
 /// Reads the answer of the server that the request was sent to, and passes it on or records why
 /// not.
-asio::awaitable<SendResult> receiveAnswer(Relay &relay, const InstanceId &id,
-                                          const Endpoint &endpoint,
+asio::awaitable<SendResult> receiveAnswer(Relay &relay, const AnswerSource &source,
                                           const HttpConnectionPtr &connection)
 {
     Gateway &gateway = *relay.m_gateway;
+    const InstanceId &id = source.m_server;
+    HttpPool &pool = relay.m_viaHost.m_text.empty() ? gateway.m_servers : gateway.m_hosts;
     const Millis headTimeout = answerTimeout(*relay.m_route, relay.m_runs,
                                              relay.m_choice.m_candidates, remainingTime(relay));
     auto head = co_await readHead(*connection, headTimeout);
     if (!ok(head))
         co_return recordSendFailure(relay, id, std::get<Failure>(head));
     relay.m_answer.m_headReceived = true;
+    recordHeardFrom(relay);
     relay.m_framing = bodyFramingOf(*connection);
     const HttpHead &got = std::get<HttpHead>(head);
     const AnswerMetadata metadata = gateway.m_protocol->readAnswer(got);
@@ -199,7 +218,7 @@
     if (success && metadata.m_events && relay.m_route->m_stream) {
         SendResult result = co_await passStream(relay, id, *connection, got);
         if (result.m_outcome == SendOutcome::Done && !callerDisconnected(relay))
-            releaseHttpConnection(gateway.m_servers, endpoint, connection);
+            releaseHttpConnection(pool, source.m_endpoint, connection);
         co_return result;
     }
     auto body = co_await readBody(*connection, remainingTime(relay) + deadlineGrace, maxAnswerBytes,
@@ -209,7 +228,9 @@
     HttpResponse response;
     response.m_head = got;
     response.m_body = std::get<std::string>(std::move(body));
-    releaseHttpConnection(gateway.m_servers, endpoint, connection);
+    releaseHttpConnection(pool, source.m_endpoint, connection);
+    if (!relay.m_viaHost.m_text.empty() && !relay.m_headSent)
+        co_return co_await passHostAnswer(relay, std::move(response));
     if (metadata.m_notRun) {
         recordRefusal(relay, id, metadata);
         relay.m_refusedBy.insert(id);
@@ -252,13 +273,17 @@
                              makeFailure(ErrorKind::NoBackendServer,
                                          "the server is gone from the list", shortRetryAfter)};
     const Endpoint endpoint = known->m_server.m_endpoint;
+    relay.m_triedServers.insert(id);
     relay.m_serverSoftware = softwareIdOf(known->m_server);
     const RunningCount runningCount(relay, id);
     const Millis connectBegan = now(gateway);
     const Millis connectBy = std::min(connectTimeout, remainingTime(relay));
-    auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, connectBy, false);
+    const bool forceNew = !mayReuseConnections(gateway, relay.m_service);
+    auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, connectBy, forceNew);
     if (!ok(opened)) {
         recordResult(relay, id, false);
+        if (KnownServer *unreached = knownServer(gateway.m_serverTable, id))
+            recordPathLost(gateway, *unreached);
         recordConnectFailure(relay, id, std::get<Failure>(opened), now(gateway) - connectBegan);
         co_return SendResult{SendOutcome::NotSent, std::get<Failure>(opened)};
     }
@@ -274,20 +299,30 @@
                                          shortRetryAfter)};
     if (auto refusal = admitToServer(gateway, relay.m_causes))
         co_return SendResult{SendOutcome::NotSent, std::move(*refusal)};
-    const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
+    const HttpRequest request = requestFor(relay, id);
+    AnswerSource source;
+    source.m_server = id;
+    source.m_endpoint = endpoint;
+    co_return co_await exchangeOn(relay, source, std::get<HttpConnectionPtr>(opened), request);
+}
+
+asio::awaitable<SendResult> exchangeOn(Relay &relay, AnswerSource source,
+                                       HttpConnectionPtr connection, const HttpRequest &request)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const InstanceId &id = source.m_server;
     relay.m_server = connection.get();
     relay.m_endedByHost = false;
     relay.m_sends += 1;
     relay.m_answer = {};
     relay.m_sendDelay = now(gateway) - relay.m_chosenAt;
     SendResult result;
-    const HttpRequest request = requestFor(relay, id);
     const auto sendFailure
-        = co_await sendRequest(*connection, endpoint, request, remainingTime(relay));
+        = co_await sendRequest(*connection, source.m_endpoint, request, remainingTime(relay));
     if (sendFailure)
         result = recordSendFailure(relay, id, *sendFailure);
     else
-        result = co_await receiveAnswer(relay, id, endpoint, connection);
+        result = co_await receiveAnswer(relay, source, connection);
     relay.m_server = nullptr;
     if (result.m_outcome == SendOutcome::Failed)
         relay.m_runs += 1;
@@ -295,6 +330,7 @@
         logEvent("send_failed",
                  {{"id", relay.m_metadata.m_id},
                   {"server", id.m_text},
+                  {"via", relay.m_viaHost.m_text},
                   {"version", softwareVersionOf(gateway, id)},
                   {"run",
                    toText(result.m_outcome == SendOutcome::Failed ? RunState::Unknown
--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -116,6 +116,30 @@
     return gateway.m_stopping ? std::min(limit, lastSendBeforeStop(relay)) : limit;
 }
 
+Destination toServer(const InstanceId &server)
+{
+    Destination destination;
+    destination.m_server = server;
+    return destination;
+}
+
+Destination toHost(const HostName &host)
+{
+    Destination destination;
+    destination.m_host = host;
+    return destination;
+}
+
+/// Whether the request can't be sent to a server from here, but perhaps from another host: none of
+/// the servers that could execute it is reached, or which version began its stream is known only
+/// there.
+bool needsOtherHost(const Relay &relay)
+{
+    if (relay.m_streamBegunElsewhere)
+        return true;
+    return relay.m_choice.m_server.m_text.empty() && relay.m_choice.m_cutOff > 0;
+}
+
 } // namespace
 
 ModelDemandKey modelDemandKeyOf(const Relay &relay)
@@ -129,7 +153,14 @@
     return engine && engine->m_models.contains(relay.m_metadata.m_model);
 }
 
-asio::awaitable<Result<InstanceId>> findServer(Relay &relay)
+bool holdsModelOf(const Relay &relay, const KnownServer &known)
+{
+    const RequestMetadata &metadata = relay.m_metadata;
+    return metadata.m_model.m_text.empty()
+        || holdsModel(latestStatus(known), metadata.m_model, metadata.m_adapter);
+}
+
+asio::awaitable<Result<Destination>> findDestination(Relay &relay)
 {
     Gateway &gateway = *relay.m_gateway;
     while (true) {
@@ -143,15 +174,30 @@
         const Millis waitEnd = modelWaitEnd(relay);
         relay.m_chosenAt = now(gateway);
         relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
+        if (needsOtherHost(relay)) {
+            if (!relay.m_forwardedBy.m_text.empty())
+                co_return makeFailure(ErrorKind::ReachedElsewhere,
+                                      "this host doesn't reach the servers either");
+            if (const auto host = chooseForwardHost(relay))
+                co_return toHost(*host);
+            recordDownEverywhere(relay);
+            if (relay.m_streamBegunElsewhere)
+                co_return makeFailure(ErrorKind::NoBackendServer,
+                                      "no other host is left to continue the stream");
+            ChoiceInput input = choiceInput(relay);
+            input.m_alsoCutOff = relay.m_hostsWithoutPath == 0;
+            relay.m_choice = chooseServer(gateway.m_serverTable, input, relay.m_chosenAt);
+        }
+        countRequest(relay);
         relay.m_serverTableRevision = gateway.m_serverTable.m_revision;
         relay.m_serverTableAge = relay.m_chosenAt - gateway.m_serverTable.m_confirmedAt;
         const bool found = !relay.m_choice.m_server.m_text.empty();
         if (found && !isLimited(relay))
-            co_return relay.m_choice.m_server;
+            co_return toServer(relay.m_choice.m_server);
         if (found && relay.m_permitAsks < maxPermitAsks) {
             relay.m_permitAsks += 1;
             if (co_await requestPermit(gateway, relay.m_choice.m_server))
-                co_return relay.m_choice.m_server;
+                co_return toServer(relay.m_choice.m_server);
         } else if (found || relay.m_choice.m_permitAt) {
             const Millis permitAt
                 = relay.m_choice.m_permitAt.value_or(relay.m_chosenAt + retryPause);
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -42,6 +42,16 @@
     return failure;
 }
 
+/// A host that can't take requests now tells another host so in a way that has it ask a third one.
+Failure forOtherHost(const Relay &relay, Failure failure)
+{
+    const bool isOfThisHost
+        = failure.m_kind == ErrorKind::Stopping || failure.m_kind == ErrorKind::NotReady;
+    if (isOfThisHost && !relay.m_forwardedBy.m_text.empty())
+        failure.m_kind = ErrorKind::ReachedElsewhere;
+    return failure;
+}
+
 /// Formats the expected load of a server in hundredths of its slots. The value is higher by 10,000
 /// after a recent failure of the server.
 std::string loadText(double load)
@@ -73,6 +83,8 @@
               {"why", failure.m_detail},
               {"run", toText(failure.m_run)},
               {"server", relay.m_choice.m_server.m_text},
+              {"via", relay.m_viaHost.m_text},
+              {"forwarded_by", relay.m_forwardedBy.m_text},
               {"version", softwareVersionOf(gateway, relay.m_choice.m_server)},
               {"resumes", relay.m_metadata.m_resumes},
               {"resume_after", relay.m_metadata.m_resumeAfter},
@@ -95,6 +107,7 @@
 
 asio::awaitable<void> refuse(Relay &relay, Failure failure)
 {
+    failure = forOtherHost(relay, std::move(failure));
     failure = withoutFalseNotRun(relay, std::move(failure));
     Gateway &gateway = *relay.m_gateway;
     countAnswer(gateway.m_metrics, failure.m_kind);
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -25,9 +25,13 @@
         && relay.m_runs < relay.m_route->m_maxAttempts;
 }
 
+/// The retry budget of the service, with this host's present share.
 RetryBudget &budgetOf(Relay &relay)
 {
-    return relay.m_gateway->m_retryBudgets[relay.m_service];
+    Gateway &gateway = *relay.m_gateway;
+    RetryBudget &budget = gateway.m_retryBudgets[relay.m_service];
+    setHostShare(budget, gateway.m_settings, hostCount(gateway));
+    return budget;
 }
 
 /// Sends the request to one server after the other until it is answered or no attempt is left.
@@ -35,13 +39,13 @@
 {
     Gateway &gateway = *relay.m_gateway;
     while (true) {
-        const auto found = co_await findServer(relay);
+        const auto found = co_await findDestination(relay);
         if (!ok(found)) {
             if (relay.m_lastFailedAnswer)
                 break;
             co_return co_await refuse(relay, std::get<Failure>(found));
         }
-        const InstanceId id = std::get<InstanceId>(found);
+        const auto &destination = std::get<Destination>(found);
         if (relay.m_sends > 0) {
             if (!takeRetry(budgetOf(relay), now(gateway))) {
                 if (relay.m_lastFailedAnswer)
@@ -53,8 +57,11 @@
             }
             countRetry(gateway.m_metrics);
         }
-        relay.m_triedServers.insert(id);
-        const SendResult result = co_await sendTo(relay, id);
+        SendResult result;
+        if (destination.m_server.m_text.empty())
+            result = co_await sendViaHost(relay, destination.m_host);
+        else
+            result = co_await sendTo(relay, destination.m_server);
         if (result.m_outcome == SendOutcome::Done)
             co_return;
         if (!mayResend(relay, result)) {
@@ -103,13 +110,8 @@
     relay.m_deadline = relay.m_arrived + timeAllowedFor(relay);
     relay.m_fields = request.m_fields;
     removeHopByHopFields(relay.m_fields);
-    RetryBudget &budget = budgetOf(relay);
-    setHostShare(budget, gateway.m_settings, hostCount(gateway));
-    recordRequest(budget, relay.m_arrived);
     if (const auto refusal = co_await findOriginVersion(relay))
         co_return co_await refuse(relay, *refusal);
-    if (modelPublished(relay))
-        recordArrival(gateway.m_modelDemands[modelDemandKeyOf(relay)], relay.m_arrived);
     co_await relayToServers(relay);
 }
 
@@ -121,9 +123,24 @@
 
 } // namespace
 
+void countRequest(Relay &relay)
+{
+    if (std::exchange(relay.m_counted, true))
+        return;
+    recordRequest(budgetOf(relay), relay.m_arrived);
+    if (modelPublished(relay))
+        recordArrival(relay.m_gateway->m_modelDemands[modelDemandKeyOf(relay)], relay.m_arrived);
+}
+
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange)
+{
+    return relayCallOf(gateway, exchange, {});
+}
+
+asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy)
 {
     Relay relay(gateway);
+    relay.m_forwardedBy = std::move(forwardedBy);
     relay.m_exchange = &exchange;
     relay.m_arrived = now(gateway);
     gateway.m_relays.insert(&relay);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -29,6 +29,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route *m_route = nullptr;
     RequestMetadata m_metadata;
+    bool m_counted = false;           // see countRequest()
     std::uint64_t m_fingerprint = 0;  // see requestFingerprint(); valid if m_route
     std::vector<CrashCause> m_causes; // that it may crash a server by
     ServiceName m_service;
@@ -38,6 +39,11 @@
     int m_sends = 0;   // number of times that it was sent to a server
     int m_runs = 0;    // sends after which it may have been executed
     std::set<InstanceId> m_triedServers;
+    HostName m_forwardedBy; // host that sent the request here; empty: it came from its caller
+    HostName m_viaHost;     // host that the request is being sent through; empty: none
+    std::set<HostName> m_hostsAsked;         // that it was sent through, or that took no connection
+    int m_hostsWithoutPath = 0;              // of these, those that reached no server for it either
+    bool m_streamBegunElsewhere = false;     // its first event came through another host
     std::set<InstanceId> m_refusedBy;        // refused it without executing it; may be tried again
     int m_permitAsks = 0;                    // permits asked for; after a wait one more is
     int m_permitWaits = 0;                   // for servers at their limits
@@ -109,8 +115,45 @@
 
 // --- modelwait.cpp: selection of a server ---
 
-/// Finds a server for the request; if none has the model, waits for it to be loaded.
-asio::awaitable<Result<InstanceId>> findServer(Relay &relay);
+/// Where a request is sent next.
+struct Destination
+{
+    InstanceId m_server; // empty: to another host
+    HostName m_host;     // the other host; valid if m_server is empty
+};
+
+/// Finds a server for the request; if none has the model, waits for it to be loaded. If this host
+/// reaches none of the servers that have it, finds another host instead.
+asio::awaitable<Result<Destination>> findDestination(Relay &relay);
+
+/// Whether the server has loaded what the request asks for, as far as is known.
+bool holdsModelOf(const Relay &relay, const KnownServer &known);
+
+// --- viahost.cpp: requests sent through another host ---
+
+/// The host through which the request is sent next; empty: none is left to ask.
+std::optional<HostName> chooseForwardHost(const Relay &relay);
+
+/// To be called when no host is left to ask: if hosts said that they don't reach the servers
+/// either, the servers are down, and no host is asked for them for a moment.
+void recordDownEverywhere(const Relay &relay);
+
+/// Sends the request through another host and handles its answer.
+asio::awaitable<SendResult> sendViaHost(Relay &relay, const HostName &host);
+
+/// Handles the complete answer of the other host: passes it on, unless that host could not have the
+/// request executed.
+asio::awaitable<SendResult> passHostAnswer(Relay &relay, HttpResponse response);
+
+// --- relay.cpp ---
+
+/// Counts the request in the retry budget and as demand for its model, once. Not to be called for
+/// one that is sent through another host, which counts it.
+void countRequest(Relay &relay);
+
+/// Handles one request, up to the end of its answer. `forwardedBy`: host that sent it here; empty:
+/// it came from its caller.
+asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy);
 
 // --- resumption.cpp: streams that callers take up ---
 
@@ -161,6 +204,17 @@
 
 // --- exchange.cpp: the exchange with one server ---
 
+/// The other side of an exchange.
+struct AnswerSource
+{
+    InstanceId m_server; // empty: another host
+    Endpoint m_endpoint;
+};
+
+/// Sends the request on the connection and handles the answer.
+asio::awaitable<SendResult> exchangeOn(Relay &relay, AnswerSource source,
+                                       HttpConnectionPtr connection, const HttpRequest &request);
+
 /// Sends the request to one server and handles its answer.
 asio::awaitable<SendResult> sendTo(Relay &relay, const InstanceId &id);
 
--- a/src/request/serverresults.cpp
+++ b/src/request/serverresults.cpp
@@ -15,7 +15,7 @@
 void reportIfCrashed(Relay &relay, const InstanceId &id, bool answered)
 {
     const AnswerProgress &answer = relay.m_answer;
-    if (answer.m_survived)
+    if (answer.m_survived || !relay.m_viaHost.m_text.empty())
         return;
     const AnswerStage stage = answer.m_firstEventAt ? AnswerStage::Streaming
         : answer.m_headReceived                     ? AnswerStage::Beginning
@@ -74,7 +74,7 @@
 
 void recordSurvival(Relay &relay)
 {
-    if (std::exchange(relay.m_answer.m_survived, true))
+    if (std::exchange(relay.m_answer.m_survived, true) || !relay.m_viaHost.m_text.empty())
         return;
     recordServedCauses(*relay.m_gateway, relay.m_causes);
 }
@@ -99,6 +99,8 @@
     if (callerDisconnected(relay) || relay.m_endedByHost)
         return {SendOutcome::Failed, std::move(failure)};
     recordResult(relay, id, false);
+    if (KnownServer *known = knownServer(relay.m_gateway->m_serverTable, id))
+        known->m_path.m_suspected = true;
     if (failure.m_connectionEnded)
         reportIfCrashed(relay, id, false);
     return {SendOutcome::Failed, std::move(failure)};
