--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -643,6 +643,9 @@
 /// Takes the lease when it is free, and renews it while this host holds it.
 asio::awaitable<void> maintainLease(Gateway &gateway);
 
+/// One step of the above, as a holder or as a candidate.
+asio::awaitable<void> stepLease(Gateway &gateway);
+
 /// Releases the lease in a planned stop. During a store outage no other host could take it over, so
 /// the release waits for the store as long as the stop allows.
 asio::awaitable<void> releaseLease(Gateway &gateway);
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -213,6 +213,22 @@
     return now(gateway) < *gateway.m_candidateSince + wait;
 }
 
+/// Whether this host can't order anything, but another one that it hears of perhaps can.
+bool leavesLeaseToOthers(const Gateway &gateway)
+{
+    if (!isCutFromModelServers(gateway))
+        return false;
+    const auto &unreachable = gateway.m_paths.m_unreachable;
+    return std::any_of(gateway.m_peers.begin(), gateway.m_peers.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        const bool reachesOne
+            = std::any_of(unreachable.begin(), unreachable.end(), [&](const auto &service) {
+                  return !peer.m_unreachableServices.contains(serviceHash(service.first));
+              });
+        return peer.m_ready && isPeerAlive(gateway, peer) && reachesOne;
+    });
+}
+
 /// One step of a host without the lease: takes it over if the rules allow that.
 asio::awaitable<void> stepAsCandidate(Gateway &gateway)
 {
@@ -220,7 +236,7 @@
     // could coincide with an extension that all registered hosts granted.
     const bool isCandidate
         = isReady(gateway) && gateway.m_hostEntryRevision > 0 && !gateway.m_stopping;
-    if (!isCandidate || isOtherHolderAlive(gateway))
+    if (!isCandidate || isOtherHolderAlive(gateway) || leavesLeaseToOthers(gateway))
         co_return;
     if (!gateway.m_candidateSince)
         gateway.m_candidateSince = now(gateway);
@@ -298,6 +314,24 @@
         gateway.m_holder = {};
 }
 
+namespace {
+
+/// Ends this host's lease and writes that it is free.
+asio::awaitable<void> writeRelease(Gateway &gateway, const char *why)
+{
+    const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fencingToken};
+    loseLease(gateway, why);
+    const SentLeaseWrite sent = co_await sendLeaseRecord(gateway, record);
+    const auto &object = sent.m_reply.m_object;
+    const bool done = sent.m_reply.m_outcome == StoreOutcome::Done && object
+        && storeEra(object->m_revision) == storeEra(sent.m_write.m_over);
+    if (done)
+        broadcastRelease(gateway, object->m_revision);
+    logEvent("lease_released", {{"done", done ? "yes" : "no"}});
+}
+
+} // namespace
+
 bool holdsLease(const Gateway &gateway)
 {
     return mayOrder(gateway.m_lease, gateway.m_leaseTiming, now(gateway));
@@ -308,6 +342,18 @@
     return {host.m_text + "@" + peer.m_ip};
 }
 
+asio::awaitable<void> stepLease(Gateway &gateway)
+{
+    if (gateway.m_lease.m_fencingToken == 0)
+        co_await stepAsCandidate(gateway);
+    else if (!holdsLease(gateway))
+        loseLease(gateway, "not_renewed_in_time");
+    else if (leavesLeaseToOthers(gateway) && !gateway.m_storeHealth.m_unavailable)
+        co_await writeRelease(gateway, "reaches_no_model_server");
+    else
+        stepAsHolder(gateway);
+}
+
 asio::awaitable<void> maintainLease(Gateway &gateway)
 {
     // When all hosts start at the same time the last holder tries first, since it need not wait for
@@ -317,12 +363,7 @@
     if (!wasLastHolder(gateway.m_lease, machineIdentity(gateway)))
         co_await pauseFor(gateway, jittered(gateway, startupSpread));
     while (true) {
-        if (gateway.m_lease.m_fencingToken == 0)
-            co_await stepAsCandidate(gateway);
-        else if (!holdsLease(gateway))
-            loseLease(gateway, "not_renewed_in_time");
-        else
-            stepAsHolder(gateway);
+        co_await stepLease(gateway);
         co_await sleepUntilWoken(*gateway.m_leaseTrigger, leasePollInterval);
     }
 }
@@ -334,17 +375,8 @@
     const Millis releaseAt = stopDeadline(gateway) - releaseTimeReserve;
     while (holdsLease(gateway) && gateway.m_storeHealth.m_unavailable && now(gateway) < releaseAt)
         co_await pauseFor(gateway, leasePollInterval);
-    if (gateway.m_lease.m_fencingToken == 0)
-        co_return;
-    const LeaseRecord record = {{}, gateway.m_run, gateway.m_lease.m_fencingToken};
-    loseLease(gateway, "stopping");
-    const SentLeaseWrite sent = co_await sendLeaseRecord(gateway, record);
-    const auto &object = sent.m_reply.m_object;
-    const bool done = sent.m_reply.m_outcome == StoreOutcome::Done && object
-        && storeEra(object->m_revision) == storeEra(sent.m_write.m_over);
-    if (done)
-        broadcastRelease(gateway, object->m_revision);
-    logEvent("lease_released", {{"done", done ? "yes" : "no"}});
+    if (gateway.m_lease.m_fencingToken != 0)
+        co_await writeRelease(gateway, "stopping");
 }
 
 } // namespace apricot
