--- a/src/backendservers.h
+++ b/src/backendservers.h
@@ -128,10 +128,22 @@
 /// Identifies one process of a server: a hash of the server's id and the start time.
 std::uint64_t processId(const KnownServer &known);
 
+/// What a process of a server said, kept while the table doesn't list it.
+struct FormerStatements
+{
+    ServerStatements m_said;
+    Millis m_keptUntil;
+};
+
+/// For this long what a process said is kept after its entry was removed, or longer if its pause
+/// lasts longer. Entries lapse, and are spoiled by other writers, while their servers run on.
+constexpr Millis statementsKeptTime = {60'000};
+
 /// All backend servers known to this host.
 struct ServerTable
 {
     std::map<InstanceId, KnownServer> m_servers;
+    std::map<std::uint64_t, FormerStatements> m_former; // by processId()
     std::uint64_t m_revision = 0; // store revision at which m_servers was the complete list
     Millis m_confirmedAt;         // latest time at which m_servers was known to be up to date
 };
@@ -161,7 +173,12 @@
 bool handleRemovedEntry(ServerTable &servers, const InstanceId &server, Millis keepUntil,
                         Millis time);
 
-/// Drops the servers that are still missing from the list at the end of their grace period.
+/// Removes a server. What its process said is kept for a time: the process may run on, and its
+/// entry may come back.
+void removeServer(ServerTable &servers, const InstanceId &server, Millis time);
+
+/// Drops the servers that are still missing from the list at the end of their grace period, and
+/// what is kept of processes that are gone.
 void dropExpiredMissing(ServerTable &servers, Millis time);
 
 /// Returns a hash of the ids, process start times and leaving flags of all listed servers. Hosts
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -59,6 +59,32 @@
 
 namespace {
 
+constexpr std::size_t maxFormer = 4'096; // processes; beyond it no further ones are kept
+
+bool saysAnything(const ServerStatements &said, Millis time)
+{
+    return said.m_limit || said.m_leavingSince || said.m_pausedUntil > time;
+}
+
+/// Keeps what the server's process said, if that still matters.
+void keepStatements(ServerTable &servers, const KnownServer &known, Millis time)
+{
+    if (!saysAnything(known.m_said, time) || servers.m_former.size() >= maxFormer)
+        return;
+    const Millis until = std::max(time + statementsKeptTime, known.m_said.m_pausedUntil);
+    servers.m_former[processId(known)] = {known.m_said, until};
+}
+
+/// Takes back what the server's process said before its entry was removed.
+void restoreStatements(ServerTable &servers, KnownServer &known)
+{
+    const auto former = servers.m_former.find(processId(known));
+    if (former == servers.m_former.end())
+        return;
+    known.m_said = former->second.m_said;
+    servers.m_former.erase(former);
+}
+
 /// Discards what was recorded about an earlier process of the server.
 void forgetEarlierProcess(KnownServer &known)
 {
@@ -77,14 +103,19 @@
 
 void applyEntry(ServerTable &servers, const BackendServer &server, Millis time)
 {
+    const bool added = !servers.m_servers.contains(server.m_id);
     KnownServer &known = servers.m_servers[server.m_id];
-    const bool restarted
-        = known.m_server.m_serverStatus.m_startUnixMs != server.m_serverStatus.m_startUnixMs;
+    const bool restarted = !added
+        && known.m_server.m_serverStatus.m_startUnixMs != server.m_serverStatus.m_startUnixMs;
+    if (restarted)
+        keepStatements(servers, known, time); // the entry may be of another writer
     known.m_server = server;
     known.m_entryUpdatedAt = time;
     known.m_missing = false;
     if (restarted)
         forgetEarlierProcess(known);
+    if (added || restarted)
+        restoreStatements(servers, known);
     if (server.m_leaving && !isLeaving(known))
         known.m_said.m_leavingSince = time;
 }
@@ -114,7 +145,7 @@
         return false;
     KnownServer &known = found->second;
     if (time >= keepUntil || known.m_server.m_leaving) {
-        servers.m_servers.erase(found);
+        removeServer(servers, server, time);
         return false;
     }
     known.m_missing = true;
@@ -122,11 +153,25 @@
     return true;
 }
 
+void removeServer(ServerTable &servers, const InstanceId &server, Millis time)
+{
+    const auto found = servers.m_servers.find(server);
+    if (found == servers.m_servers.end())
+        return;
+    keepStatements(servers, found->second, time);
+    servers.m_servers.erase(found);
+}
+
 void dropExpiredMissing(ServerTable &servers, Millis time)
 {
-    std::erase_if(servers.m_servers, [&](const auto &entry) {
-        return entry.second.m_missing && time >= entry.second.m_missingUntil;
-    });
+    for (auto entry = servers.m_servers.begin(); entry != servers.m_servers.end();) {
+        const InstanceId id = entry->first;
+        const KnownServer &known = (entry++)->second;
+        if (known.m_missing && time >= known.m_missingUntil)
+            removeServer(servers, id, time);
+    }
+    std::erase_if(servers.m_former,
+                  [&](const auto &former) { return time >= former.second.m_keptUntil; });
 }
 
 std::uint64_t processId(const KnownServer &known)
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -163,7 +163,7 @@
     const auto read = gateway.m_protocol->readServer(object.m_name, object.m_content);
     if (!ok(read)) {
         // The entry is malformed, perhaps overwritten by another writer: it names no usable server.
-        table.m_servers.erase(id);
+        removeServer(table, id, now(gateway));
         logWarning("server_unreadable",
                    {{"server", id.m_text}, {"why", std::get<Failure>(read).m_detail}});
         return;
