--- a/src/gateway.h
+++ b/src/gateway.h
@@ -13,7 +13,7 @@
 // Index
 //   1. Published        routes, services and models as the operators publish them
 //   2. Backend servers  what a server reports, and what each host records about it:
-//   backendservers.h
+//   backendservers.h, and its paths to them: serverpaths.h
 //   3. Requests         request metadata, server selection, retries
 //   4. Lease            which host may send orders to model servers
 //   5. Placement        which models to load and unload, and where
--- a/src/process/heartbeat.h
+++ b/src/process/heartbeat.h
@@ -76,6 +76,9 @@
 /// Adds the services of which this host reaches no server.
 void addUnreachableServices(const Gateway &gateway, wire::BeatT &heartbeat);
 
+/// Takes over the services of which the other host reaches no server.
+void applyUnreachableServices(Peer &peer, const wire::BeatT &heartbeat);
+
 /// Updates the gauges of servers that leave, are paused or named a limit.
 void updateStatementCounts(Gateway &gateway);
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -152,6 +152,7 @@
     if (heartbeat.reply_wanted)
         sendDatagram(gateway, MessageKind::Heartbeat, peer.m_entry.m_peer,
                      encodeHeartbeat(makeHeartbeat(gateway)));
+    applyUnreachableServices(peer, heartbeat);
     if (heartbeat.brief) {
         applyCrashNews(gateway, heartbeat);
         applyPermits(gateway, peer, heartbeat);
@@ -167,8 +168,6 @@
     peer.m_probes = 0;
     peer.m_ready = heartbeat.ready;
     peer.m_fencingToken = heartbeat.fence;
-    peer.m_unreachableServices
-        = {heartbeat.unreachable_services.begin(), heartbeat.unreachable_services.end()};
     if (heartbeat.fence > 0)
         handleHolderHeartbeat(gateway, peer, heartbeat);
     if (heartbeat.ask > 0)
--- a/src/process/pathwatch.cpp
+++ b/src/process/pathwatch.cpp
@@ -12,7 +12,6 @@
 /// Idle connections to the servers of a service aren't used if nothing was heard of it for so long:
 /// a request on a connection whose path is lost may be lost too.
 constexpr Millis reuseTime = {700};
-constexpr Millis probeTimeout = {400};
 constexpr int maxProbesAtOnce = 32;
 constexpr Millis logInterval = {1'000};
 constexpr Millis suspicionTime = {1'000}; // for which a lost path calls for probes of others
@@ -61,7 +60,7 @@
 {
     gateway.m_paths.m_probing += 1;
     const auto opened
-        = co_await openHttpConnection(gateway.m_servers, endpoint, probeTimeout, true);
+        = co_await openHttpConnection(gateway.m_servers, endpoint, connectTimeout, true);
     gateway.m_paths.m_probing -= 1;
     countPathProbe(gateway.m_metrics, ok(opened));
     if (ok(opened))
@@ -102,8 +101,24 @@
               {"since_ms", std::to_string((now(gateway) - since).m_count)}});
 }
 
-/// Takes over the present state of services. Other hosts learn of a change at once, so that they
-/// don't send requests through this one.
+/// Tells other hosts at once, so that they don't send requests through this one. In a large fleet
+/// only some are told: the others learn it from heartbeats, or when they ask this host.
+void tellUnreachableServices(Gateway &gateway)
+{
+    constexpr std::size_t mostTold = 64;
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    addUnreachableServices(gateway, heartbeat);
+    const std::string bytes = encodeHeartbeat(heartbeat);
+    const std::size_t peers = gateway.m_peers.size();
+    std::size_t next = gateway.m_random();
+    for (std::size_t told = 0; told < std::min(peers, mostTold); ++told) {
+        const auto peer
+            = std::next(gateway.m_peers.begin(), static_cast<std::ptrdiff_t>(next++ % peers));
+        sendDatagram(gateway, MessageKind::Heartbeat, peer->second.m_entry.m_peer, bytes);
+    }
+}
+
+/// Takes over the present state of services.
 void updateServices(Gateway &gateway)
 {
     std::map<ServiceName, Millis> current = unreachableServices(gateway);
@@ -125,7 +140,7 @@
         entry = known.erase(entry);
     }
     if (changed)
-        broadcastHeartbeat(gateway);
+        tellUnreachableServices(gateway);
 }
 
 } // namespace
@@ -165,10 +180,18 @@
 
 void addUnreachableServices(const Gateway &gateway, wire::BeatT &heartbeat)
 {
+    heartbeat.tells_paths = true;
     for (const auto &[service, since] : gateway.m_paths.m_unreachable)
         heartbeat.unreachable_services.push_back(serviceHash(service));
 }
 
+void applyUnreachableServices(Peer &peer, const wire::BeatT &heartbeat)
+{
+    const auto &services = heartbeat.unreachable_services;
+    if (heartbeat.tells_paths)
+        peer.m_unreachableServices = std::set<std::uint64_t>(services.begin(), services.end());
+}
+
 bool isCutFromModelServers(const Gateway &gateway)
 {
     if (!gateway.m_routes)
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Millis connectTimeout = {400};
 constexpr std::size_t maxAnswerBytes = 16UL << 20; // limit for an answer that isn't a stream
 
 /// Counts a request as running at a server for the lifetime of the object.
--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -1,5 +1,5 @@
-// Selection of a server for a request. If no server has the model, the request waits until it is
-// loaded, and counts as demand meanwhile.
+// Selection of a server for a request, or of another host if this one reaches none of the servers.
+// If no server has the model, the request waits until it is loaded, and counts as demand meanwhile.
 #include "request/relay.h"
 
 #include <algorithm>
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -113,7 +113,7 @@
 /// begun.
 asio::awaitable<void> refuse(Relay &relay, Failure failure);
 
-// --- modelwait.cpp: selection of a server ---
+// --- modelwait.cpp: selection of a server or another host ---
 
 /// Where a request is sent next.
 struct Destination
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -17,7 +17,6 @@
 
 /// Field of a request between hosts: HOST/VERSION of the configuration in force at that host.
 const char *const forwardField = "Apricot-Forwarded-By";
-constexpr Millis connectTimeout = {400};
 constexpr int maxHostsAsked = 3; // for one request
 constexpr Millis unreachedHostPause = {1'000};
 /// A host in another data centre is chosen only if it has so many fewer requests of this host.
@@ -214,6 +213,9 @@
     const std::string &host = relay.m_viaHost.m_text;
     if (status == errorResponseFor(ErrorKind::ReachedElsewhere).m_status) {
         relay.m_hostsWithoutPath += 1;
+        const auto peer = relay.m_gateway->m_peers.find(relay.m_viaHost);
+        if (peer != relay.m_gateway->m_peers.end()) // until its next heartbeat says otherwise
+            peer->second.m_unreachableServices.insert(serviceHash(relay.m_service));
         relay.m_sends -= 1; // no server got it
         co_return SendResult{SendOutcome::NotRun,
                              makeFailure(ErrorKind::NoBackendServer,
--- a/src/serverpaths.h
+++ b/src/serverpaths.h
@@ -14,6 +14,8 @@
 
 namespace apricot {
 
+constexpr Millis connectTimeout = {400}; // to a server or to another host
+
 /// Path to one process of a server.
 struct ServerPath
 {
