--- /dev/null
+++ b/review/common/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled with each case.
+#include <boost/json/src.hpp>
