--- a/spec/check.sh
+++ b/spec/check.sh
@@ -48,4 +48,5 @@
 check count-from-ack refuted -DCOUNT_FROM_ACK
 check ignore-grant refuted -DIGNORE_GRANT
 check grant-while-unconfirmed refuted -DGRANT_WHILE_UNCONFIRMED
+check conclude-token refuted -DCONCLUDE_TOKEN
 [ $failed = 0 ]
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -373,6 +373,7 @@
     LeaseRecord m_lastSeenRecord;     // the lease record as last seen
     Millis m_recordSeenSince;         // latest time from which its holder may count the validity
     bool m_recordSeen = false;        // false: m_revision and m_lastSeenRecord are not valid
+    bool m_tokenUnknown = false;      // m_lastSeenRecord lacks its token, which the store has
     std::uint64_t m_highestToken = 0; // highest fencing token seen, also in earlier eras
     bool m_recordLost = false;        // the store had a record before, or may have had one
     Millis m_missingSince;            // when its absence was seen first; valid if m_recordLost
@@ -394,10 +395,19 @@
 /// nothing if that revision or a later one has been seen already.
 void observeLease(Lease &lease, const LeaseRecord &record, std::uint64_t revision, Millis since);
 
-/// Records that the process instance `run` released the lease, which left the record at `revision`.
-/// Does nothing on a host that has never seen the record: a release doesn't contain the fencing
-/// token, so such a host has to read the record from the store first.
-void observeRelease(Lease &lease, const std::string &run, std::uint64_t revision, Millis time);
+/// What a former holder tells of the release of its lease.
+struct LeaseRelease
+{
+    std::string m_run;                // process instance of the former holder
+    std::uint64_t m_position = 0;     // of the released record
+    std::uint64_t m_fencingToken = 0; // of the released lease; 0: not stated, by an older build
+};
+
+/// Records that the lease was released. The receiver may have missed the whole lease, so its
+/// fencing token can't be concluded from the record seen before: if the release doesn't state it,
+/// the token counts as unknown until the record is read from the store. Does nothing on a host that
+/// has never seen the record: it reads it first.
+void observeRelease(Lease &lease, const LeaseRelease &release, Millis time);
 
 /// Handles an extension request of the holder with that fencing token, which can't reach the store.
 /// Returns true if the extension is granted; this host then won't take the lease before the granted
@@ -424,8 +434,8 @@
 /// the lease last, since later records were lost.
 bool isFromCopy(const LeaseRecord &record, std::uint64_t position);
 
-/// Fencing token for a new holder. It is higher than any of earlier eras, which the records of a
-/// copy don't tell.
+/// Fencing token for a new holder, valid only unless m_tokenUnknown. It is higher than any of
+/// earlier eras, which the records of a copy don't tell.
 std::uint64_t nextFencingToken(const Lease &lease, std::uint64_t era);
 
 /// A conditional write of the lease record, and its result.
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -524,8 +524,11 @@
 /// to hosts that haven't granted it, since one lost datagram of many would void it otherwise.
 void requestExtension(Gateway &gateway);
 
-/// Notifies all other hosts that the lease was released, which left its record at `revision`.
-void broadcastRelease(Gateway &gateway, std::uint64_t revision);
+/// Notifies all other hosts that the lease with that fencing token was released, and of the
+/// position of its record in the store. Hosts of older builds don't understand that, and wait for
+/// the end of the lease: they would conclude the token from the record that they saw last, which
+/// may be older.
+void broadcastRelease(Gateway &gateway, std::uint64_t position, std::uint64_t fencingToken);
 
 // --- demandreports.cpp: demand of callers ---
 
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -104,12 +104,29 @@
                   {"hosts", std::to_string(gateway.m_peers.size())}});
 }
 
+/// The release of the lease that the heartbeat tells of. A host of an older build states only its
+/// position.
+std::optional<LeaseRelease> releaseIn(const wire::BeatT &heartbeat)
+{
+    if (heartbeat.release)
+        return LeaseRelease{heartbeat.run, heartbeat.release->position, heartbeat.release->fence};
+    if (heartbeat.released > 0)
+        return LeaseRelease{heartbeat.run, heartbeat.released};
+    return std::nullopt;
+}
+
 /// Handles the release of the lease, also by a host that has left the register meanwhile: a
 /// stopping holder removes its entry at the same time.
-void handleRelease(Gateway &gateway, const wire::BeatT &heartbeat)
+void handleRelease(Gateway &gateway, const std::string &host, const LeaseRelease &release)
 {
-    observeRelease(gateway.m_lease, heartbeat.run, heartbeat.released, now(gateway));
-    if (gateway.m_holder.m_text == heartbeat.host)
+    logEvent("release_heard",
+             {{"peer", host},
+              {"fence", std::to_string(release.m_fencingToken)},
+              {"revision", positionText(release.m_position)},
+              {"known_fence", std::to_string(gateway.m_lease.m_lastSeenRecord.m_fencingToken)},
+              {"known_revision", positionText(gateway.m_lease.m_revision)}});
+    observeRelease(gateway.m_lease, release, now(gateway));
+    if (gateway.m_holder.m_text == host)
         gateway.m_holder = {};
 }
 
@@ -139,8 +156,8 @@
 void handlePeerHeartbeat(Gateway &gateway, const wire::BeatT &heartbeat)
 {
     const HostName host = {heartbeat.host};
-    if (heartbeat.released > 0)
-        handleRelease(gateway, heartbeat);
+    if (const auto release = releaseIn(heartbeat))
+        handleRelease(gateway, heartbeat.host, *release);
     const auto found = gateway.m_peers.find(host);
     if (found == gateway.m_peers.end()) {
         // Only a ready host counts: one that is starting or stopping never takes the lease over.
@@ -314,10 +331,12 @@
     }
 }
 
-void broadcastRelease(Gateway &gateway, std::uint64_t revision)
+void broadcastRelease(Gateway &gateway, std::uint64_t position, std::uint64_t fencingToken)
 {
     wire::BeatT heartbeat = makeHeartbeat(gateway);
-    heartbeat.released = revision;
+    heartbeat.release = std::make_unique<wire::ReleaseEntryT>();
+    heartbeat.release->position = position;
+    heartbeat.release->fence = fencingToken;
     sendToAllPeers(gateway, MessageKind::Lease, encodeHeartbeat(heartbeat));
 }
 
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -12,6 +12,18 @@
 
 namespace apricot {
 
+namespace {
+
+/// Records the fencing token of the record last seen.
+void learnToken(Lease &lease, std::uint64_t fencingToken)
+{
+    lease.m_lastSeenRecord.m_fencingToken = fencingToken;
+    lease.m_highestToken = std::max(lease.m_highestToken, fencingToken);
+    lease.m_tokenUnknown = false;
+}
+
+} // namespace
+
 std::string positionText(std::uint64_t position)
 {
     const std::string revision = std::to_string(storeRevision(position));
@@ -25,8 +37,11 @@
 
 void observeLease(Lease &lease, const LeaseRecord &record, std::uint64_t revision, Millis since)
 {
-    if (lease.m_recordSeen && revision <= lease.m_revision)
+    if (lease.m_recordSeen && revision <= lease.m_revision) {
+        if (lease.m_tokenUnknown && revision == lease.m_revision)
+            learnToken(lease, record.m_fencingToken);
         return;
+    }
     // An unanswered write of this host was conditional on the earlier revision, so the store can no
     // longer apply it, unless it gives that revision out again in a later era.
     if (!lease.m_recordSeen || storeEra(revision) == storeEra(lease.m_revision))
@@ -36,7 +51,7 @@
     lease.m_revision = revision;
     lease.m_lastSeenRecord = record;
     lease.m_recordSeenSince = since;
-    lease.m_highestToken = std::max(lease.m_highestToken, record.m_fencingToken);
+    learnToken(lease, record.m_fencingToken);
 }
 
 void observeMissingLease(Lease &lease, std::uint64_t era, Millis time)
@@ -78,12 +93,14 @@
     return own || isFromCopy(result.m_inStore, result.m_position);
 }
 
-void observeRelease(Lease &lease, const std::string &run, std::uint64_t revision, Millis time)
+void observeRelease(Lease &lease, const LeaseRelease &release, Millis time)
 {
-    if (!lease.m_recordSeen)
+    if (!lease.m_recordSeen || release.m_position <= lease.m_revision)
         return;
-    observeLease(lease, {{}, run, lease.m_lastSeenRecord.m_fencingToken, storeEra(revision)},
-                 revision, time);
+    const LeaseRecord record
+        = {{}, release.m_run, release.m_fencingToken, storeEra(release.m_position)};
+    observeLease(lease, record, release.m_position, time);
+    lease.m_tokenUnknown = release.m_fencingToken == 0;
 }
 
 bool grantExtension(Lease &lease, std::uint64_t fencingToken, Millis time)
@@ -143,7 +160,7 @@
     lease.m_lastSeenRecord = record;
     lease.m_recordSeenSince = time;
     lease.m_fencingToken = record.m_fencingToken;
-    lease.m_highestToken = std::max(lease.m_highestToken, record.m_fencingToken);
+    learnToken(lease, record.m_fencingToken);
     lease.m_recordLost = false;
     lease.m_validUntil = began + timing.m_leaseDuration;
 }
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -275,6 +275,10 @@
     logEvent("lease_takeable",
              {{"holder", gateway.m_lease.m_lastSeenRecord.m_holder.m_text},
               {"revision", positionText(gateway.m_lease.m_revision)}});
+    if (gateway.m_lease.m_tokenUnknown) {
+        co_await fetchLeaseRecord(gateway);
+        co_return; // the next attempt knows the token, or that another host took the lease
+    }
     if (co_await verifyRegistration(gateway) && !isOtherHolderAlive(gateway))
         co_await takeLease(gateway);
 }
@@ -326,7 +330,7 @@
     const bool done = sent.m_reply.m_outcome == StoreOutcome::Done && object
         && storeEra(object->m_revision) == storeEra(sent.m_write.m_over);
     if (done)
-        broadcastRelease(gateway, object->m_revision);
+        broadcastRelease(gateway, object->m_revision, record.m_fencingToken);
     logEvent("lease_released", {{"done", done ? "yes" : "no"}});
 }
 
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -58,6 +58,14 @@
         peer.m_entry.m_peer = m_peer->endpoint();
     }
 
+    /// Sends the heartbeat from the other host and begins to receive it.
+    void hear(const wire::BeatT &heartbeat)
+    {
+        m_peer->m_socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)),
+                                 m_gateway->m_udp->local_endpoint());
+        begin(*m_gateway, "receive_heartbeats", receiveHeartbeats(*m_gateway));
+    }
+
     /// Runs the started coroutines until `done`, at most for 5 s.
     template<typename Condition>
     bool runUntil(Condition done)
@@ -125,6 +133,8 @@
     CPPUNIT_TEST(reportOfNewDemandAddsToTheCompleteOne);
     CPPUNIT_TEST(statusUpdateWakesOnlyRequestsForItsModels);
     CPPUNIT_TEST(releaseIsNoticedAfterItsHostLeftTheRegister);
+    CPPUNIT_TEST(releaseByOlderBuildLeavesTheTokenUnknown);
+    CPPUNIT_TEST(olderBuildsAreNotToldOfReleases);
     CPPUNIT_TEST(heartbeatsTellOfAllServersThatLeave);
     CPPUNIT_TEST(hostIsRemovedOnlyAfterUnansweredProbes);
     CPPUNIT_TEST(lostDatagramsRemoveNoHost);
@@ -336,21 +346,59 @@
         Gateway &gateway = *test.m_gateway;
         constexpr std::uint64_t lastRenewal = 8;
         constexpr std::uint64_t release = 9;
+        constexpr std::uint64_t missedToken = 2;
         observeLease(gateway.m_lease, {{"h1@127.0.0.1"}, "run", 1}, lastRenewal, now(gateway));
         gateway.m_holder = {"h1"};
         gateway.m_peers.clear();
         wire::BeatT heartbeat;
         heartbeat.host = "h1";
         heartbeat.run = "run";
-        heartbeat.released = release;
-        test.m_peer->m_socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)),
-                                      gateway.m_udp->local_endpoint());
-        begin(gateway, "receive_heartbeats", receiveHeartbeats(gateway));
+        heartbeat.release = std::make_unique<wire::ReleaseEntryT>();
+        heartbeat.release->position = release;
+        heartbeat.release->fence = missedToken;
+        test.hear(heartbeat);
         CPPUNIT_ASSERT(test.runUntil([&] { return gateway.m_lease.m_revision == release; }));
         CPPUNIT_ASSERT(gateway.m_lease.m_lastSeenRecord.m_holder.m_text.empty());
+        CPPUNIT_ASSERT_EQUAL(missedToken, gateway.m_lease.m_lastSeenRecord.m_fencingToken);
+        CPPUNIT_ASSERT(!gateway.m_lease.m_tokenUnknown);
         CPPUNIT_ASSERT(gateway.m_holder.m_text.empty());
     }
 
+    /// Guards against a fencing token that is given out twice beside hosts of an older build: their
+    /// release has no token, so the receiver, which may have missed the whole lease, must not
+    /// conclude one.
+    void releaseByOlderBuildLeavesTheTokenUnknown()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        constexpr std::uint64_t release = 9;
+        observeLease(gateway.m_lease, {{"h1@127.0.0.1"}, "run", 1}, release - 1, now(gateway));
+        wire::BeatT heartbeat;
+        heartbeat.host = "h1";
+        heartbeat.run = "run";
+        heartbeat.released = release;
+        test.hear(heartbeat);
+        CPPUNIT_ASSERT(test.runUntil([&] { return gateway.m_lease.m_revision == release; }));
+        CPPUNIT_ASSERT(gateway.m_lease.m_lastSeenRecord.m_holder.m_text.empty());
+        CPPUNIT_ASSERT(gateway.m_lease.m_tokenUnknown);
+    }
+
+    /// Guards against hosts of an older build that conclude the fencing token of a released lease:
+    /// a release must not reach them in the form that they understand.
+    void olderBuildsAreNotToldOfReleases()
+    {
+        TestGateway test;
+        Gateway &gateway = *test.m_gateway;
+        broadcastRelease(gateway, 9, 2);
+        const auto heartbeats = test.m_peer->received();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, heartbeats.size());
+        const wire::BeatT &sent = heartbeats.front();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, sent.released);
+        CPPUNIT_ASSERT(sent.release);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, sent.release->position);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, sent.release->fence);
+    }
+
     /// Guards against servers that no host is told of, since more leave at once than a heartbeat
     /// has room for and it always names the first ones.
     void heartbeatsTellOfAllServersThatLeave()
--- a/tests/unit/gatewaylease.cpp
+++ b/tests/unit/gatewaylease.cpp
@@ -24,6 +24,7 @@
     TrustedCopy,     // a record from a copy of the store counts like one written since its return
     NoEra,           // revisions are compared without the era of the store
     LostIsFree,      // a lease whose record a copy lacks is taken at once
+    TokenConcluded,  // a release leaves the receiver with the token of the record it saw last
 };
 
 /// The lease state of one simulated host. A restart of its process resets it.
@@ -33,6 +34,7 @@
     Lease m_lease;
     bool m_up = true;
     Millis m_frozenUntil = {-1};       // the process is suspended until then
+    Millis m_turnedAwayUntil = {-1};   // the store refuses the host's calls until then
     std::uint64_t m_requestNumber = 0; // of the latest extension request
     Millis m_requestedAt;              // time of the latest extension request
     std::set<std::size_t> m_open;      // hosts whose extension grant is outstanding
@@ -72,6 +74,7 @@
     Millis m_lastOrder = {-1};
     int m_orders = 0;
     int m_handovers = 0;
+    int m_releases = 0;       // that other hosts heard of
     int m_extendedOrders = 0; // orders sent on extensions only, long after the store failed
     Millis m_storeDownAt;
     bool m_violated = false; // orders of two hosts were too close to each other
@@ -88,6 +91,11 @@
 
     bool isRunning(const SimHost &host) const { return host.m_up && m_now > host.m_frozenUntil; }
 
+    bool canCallStore(const SimHost &host) const
+    {
+        return m_storeUp && m_now > host.m_turnedAwayUntil;
+    }
+
     /// Sends a write to the store that takes effect only if the record still has the revision
     /// `over`. It, or its answer, may be late, and the answer may be lost. During an outage only
     /// late writes reach the store.
@@ -100,7 +108,7 @@
         LeaseWrite write = {record, over, began};
         write.m_record.m_storeEra = storeEra(over);
         const bool late = draw(12) == 0;
-        if (!m_storeUp && !late)
+        if (!canCallStore(host) && !late)
             return;
         schedule(late ? 500 + draw(5'500) : 1 + draw(20), [=, this] {
             const bool done = m_revision == storeRevision(over);
@@ -184,6 +192,45 @@
         });
     }
 
+    /// The holder ends its lease, writes that, and tells the other hosts, some of them as an older
+    /// build does, without the fencing token.
+    void release(std::size_t at)
+    {
+        SimHost &host = m_hosts[at];
+        LeaseRelease released;
+        released.m_fencingToken = host.m_lease.m_fencingToken;
+        const std::uint64_t over = host.m_lease.m_revision;
+        dropLease(host.m_lease);
+        if (!canCallStore(host))
+            return;
+        schedule(1 + draw(20), [=, this]() mutable {
+            if (m_revision != storeRevision(over) || storeEra(over) != storeEra(position()))
+                return;
+            m_record = {{}, "", released.m_fencingToken, storeEra(over)};
+            m_revision += 1;
+            m_copies.emplace_back(m_now, m_record, m_revision);
+            released.m_position = position();
+            for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+                const bool lost = draw(5) == 0;
+                if (other != at && !lost)
+                    schedule(1 + draw(30), [=, this] { hearRelease(m_hosts[other], released); });
+            }
+        });
+    }
+
+    void hearRelease(SimHost &host, LeaseRelease released)
+    {
+        if (!isRunning(host))
+            return;
+        const bool olderBuild = draw(2) == 0;
+        if (olderBuild)
+            released.m_fencingToken = 0;
+        if (m_fault == ProtocolFault::TokenConcluded)
+            released.m_fencingToken = host.m_lease.m_lastSeenRecord.m_fencingToken;
+        observeRelease(host.m_lease, released, m_now);
+        m_releases += 1;
+    }
+
     void requestExtension(std::size_t at)
     {
         SimHost &host = m_hosts[at];
@@ -239,7 +286,7 @@
             const Millis age = m_now - (lease.m_validUntil - timing.m_leaseDuration);
             const bool renews = age >= timing.m_renewInterval && draw(3) == 0;
             // A holder mostly notices the return of the store before its next renewal.
-            if (renews && m_storeUp && storeEra(lease.m_revision) < m_era && draw(4) > 0)
+            if (renews && canCallStore(host) && storeEra(lease.m_revision) < m_era && draw(4) > 0)
                 read(host);
             if (renews && lease.m_recordSeen)
                 write(at, {host.m_name, std::to_string(m_now.m_count), lease.m_fencingToken},
@@ -253,20 +300,21 @@
             return;
         }
         if (!lease.m_recordSeen) {
-            if (m_storeUp)
+            if (canCallStore(host))
                 read(host);
-            if (m_storeUp && !lease.m_recordSeen
+            if (canCallStore(host) && !lease.m_recordSeen
                 && m_now >= takeoverAllowedAt(lease, timing, host.m_name))
                 write(at, {host.m_name, "", nextToken(lease)}, position(), true);
             return;
         }
-        if (m_storeUp && draw(10) == 0)
+        if (canCallStore(host) && (draw(10) == 0 || lease.m_tokenUnknown))
             read(host);
         if (!lease.m_recordSeen)
             return;
         // Hosts rarely attempt a takeover during an outage: with an unconfirmed write of its own a
         // host must not grant extensions.
-        const bool attemptsTakeover = m_storeUp || draw(200) == 0;
+        const bool attemptsTakeover
+            = (canCallStore(host) || draw(200) == 0) && !lease.m_tokenUnknown;
         LeaseTiming successors = timing;
         if (m_fault == ProtocolFault::NoHandoverDelay)
             successors.m_handoverDelay = {0};
@@ -298,7 +346,7 @@
     void injectFault()
     {
         SimHost &host = m_hosts[static_cast<std::size_t>(draw(3))];
-        switch (draw(4)) {
+        switch (draw(6)) {
         case 0: // the process restarts without any state
             host.m_lease = Lease();
             host.m_open.clear();
@@ -308,6 +356,15 @@
             host.m_frozenUntil = m_now + Millis{draw(9'000)};
             break;
         case 2:
+            host.m_turnedAwayUntil = m_now + Millis{draw(9'000)};
+            break;
+        case 3:
+            for (std::size_t at = 0; at < m_hosts.size(); ++at) {
+                if (isRunning(m_hosts[at]) && mayOrder(m_hosts[at].m_lease, timing, m_now))
+                    release(at);
+            }
+            break;
+        case 4:
             if (m_era > 0 && m_storeUp) {
                 returnFromCopy();
                 break;
@@ -337,7 +394,7 @@
             }
             for (std::size_t at = 0; at < m_hosts.size(); ++at)
                 step(at);
-            if (draw(60) == 0)
+            if (draw(40) == 0)
                 injectFault();
         }
     }
@@ -353,6 +410,8 @@
     CPPUNIT_TEST(releasedLeaseMayBeTakenAfterHandoverDelay);
     CPPUNIT_TEST(restartedHolderMayTakeItsLeaseAtOnce);
     CPPUNIT_TEST(releaseIsIgnoredByHostThatNeverSawTheRecord);
+    CPPUNIT_TEST(tokenOfReleasedLeaseIsNotGivenOutAgain);
+    CPPUNIT_TEST(tokenOfReleaseByOlderBuildIsUnknownUntilRead);
     CPPUNIT_TEST(lastHolderTriesFirstAfterAllHostsRestart);
     CPPUNIT_TEST(extensionGrantDelaysTakeover);
     CPPUNIT_TEST(noExtensionGrantWhileOwnWriteIsUnconfirmed);
@@ -418,20 +477,54 @@
         CPPUNIT_ASSERT(takeoverAllowedAt(lease, timing, {"other"}) == start);
     }
 
-    /// A release names the record's revision, not its fencing token. A host that starts during a
-    /// store outage and never read the record must ignore it: it would take the lease over with
-    /// fencing token 1, which an earlier holder used already.
+    /// A host that starts during a store outage and never read the record ignores a release: it
+    /// would take the lease over without knowing whether the release is the latest record.
     void releaseIsIgnoredByHostThatNeverSawTheRecord()
     {
         Lease neverSaw;
-        observeRelease(neverSaw, "run", 8, start);
+        observeRelease(neverSaw, {"run", 8, otherRecord.m_fencingToken}, start);
         CPPUNIT_ASSERT(!neverSaw.m_recordSeen);
+        observeRelease(neverSaw, {"run", 8}, start);
+        CPPUNIT_ASSERT(!neverSaw.m_recordSeen);
+    }
+
+    /// Guards against a fencing token that is given out twice: a host that the store turned away
+    /// missed a whole lease, hears of its release and takes the lease with the next token after
+    /// that of the record it saw last.
+    void tokenOfReleasedLeaseIsNotGivenOutAgain()
+    {
         Lease lease;
         observeLease(lease, otherRecord, 7, start);
-        observeRelease(lease, "run", 8, start);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, lease.m_revision);
-        CPPUNIT_ASSERT_EQUAL(otherRecord.m_fencingToken, lease.m_lastSeenRecord.m_fencingToken);
+        const std::uint64_t missedToken = otherRecord.m_fencingToken + 1;
+        observeRelease(lease, {"run", 9, missedToken}, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, lease.m_revision);
+        CPPUNIT_ASSERT_EQUAL(missedToken, lease.m_lastSeenRecord.m_fencingToken);
         CPPUNIT_ASSERT(lease.m_lastSeenRecord.m_holder.m_text.empty());
+        CPPUNIT_ASSERT(!lease.m_tokenUnknown);
+        CPPUNIT_ASSERT_EQUAL(missedToken + 1, nextFencingToken(lease, 0));
+        observeRelease(lease, {"run", 8, otherRecord.m_fencingToken}, start); // arrives late
+        CPPUNIT_ASSERT_EQUAL(missedToken, lease.m_lastSeenRecord.m_fencingToken);
+    }
+
+    /// A release that a host of an older build tells of states no token. Its record, or a later
+    /// one, has to be read before the lease is taken.
+    void tokenOfReleaseByOlderBuildIsUnknownUntilRead()
+    {
+        Lease lease;
+        observeLease(lease, otherRecord, 7, start);
+        observeRelease(lease, {"run", 9}, start);
+        CPPUNIT_ASSERT(lease.m_tokenUnknown);
+        observeLease(lease, otherRecord, 8, start); // a delayed heartbeat
+        CPPUNIT_ASSERT(lease.m_tokenUnknown);
+        const Lease heard = lease;
+        const std::uint64_t missedToken = otherRecord.m_fencingToken + 1;
+        observeLease(lease, {{}, "run", missedToken}, 9, start + Millis{500});
+        CPPUNIT_ASSERT(!lease.m_tokenUnknown);
+        CPPUNIT_ASSERT_EQUAL(missedToken + 1, nextFencingToken(lease, 0));
+        CPPUNIT_ASSERT(lease.m_recordSeenSince == start);
+        lease = heard;
+        observeLease(lease, otherRecord, 10, start);
+        CPPUNIT_ASSERT(!lease.m_tokenUnknown);
     }
 
     /// All hosts are killed and restart at the same time. Only the last holder may take the lease
@@ -489,12 +582,14 @@
         CPPUNIT_ASSERT(grantExtension(lease, 4, start + Millis{9'200}));
     }
 
-    /// Random schedules of restarted and suspended processes, store outages and late or lost
-    /// messages must never lead to orders of two hosts that are less than the handover delay apart.
+    /// Random schedules of restarted and suspended processes, released leases, store outages, hosts
+    /// that the store turns away, and late or lost messages must never lead to orders of two hosts
+    /// that are less than the handover delay apart.
     void ordersOfTwoHostsAreAHandoverDelayApart()
     {
         int handovers = 0;
         int extendedOrders = 0;
+        int releases = 0;
         constexpr std::uint64_t seeds = 300;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             Simulation simulation(seed, ProtocolFault::None);
@@ -502,17 +597,20 @@
             CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !simulation.m_violated);
             handovers += simulation.m_handovers;
             extendedOrders += simulation.m_extendedOrders;
+            releases += simulation.m_releases;
         }
         // The random schedules must contain enough handovers and orders on extensions.
         CPPUNIT_ASSERT(handovers > 100);
+        CPPUNIT_ASSERT(releases > 100);
         CPPUNIT_ASSERT(extendedOrders > 1'000);
     }
 
     /// Shows that the simulation can fail: it must detect each broken variant of the protocol.
     void brokenVariantsAreDetected()
     {
-        for (const ProtocolFault fault : {ProtocolFault::IgnoredGrants, ProtocolFault::SingleGrant,
-                                          ProtocolFault::NoHandoverDelay}) {
+        for (const ProtocolFault fault :
+             {ProtocolFault::IgnoredGrants, ProtocolFault::SingleGrant,
+              ProtocolFault::NoHandoverDelay, ProtocolFault::TokenConcluded}) {
             bool found = false;
             for (std::uint64_t seed = 1; seed <= 300 && !found; ++seed) {
                 Simulation simulation(seed, fault);
