--- a/src/gateway.h
+++ b/src/gateway.h
@@ -287,6 +287,25 @@
 /// left until its deadline, and the only clue while few times are known.
 Millis longestRunTime(const RunTimes &times, Millis allowed, Millis time);
 
+/// A planned stop of this host.
+struct PlannedStop
+{
+    Millis m_began;
+    Millis m_deadline; // answers that aren't complete by then are cut
+};
+
+/// Requests that arrive up to this long after the begin of a stop may be taken by an estimate of
+/// their run time. Operators expect of later ones that they are served whole or refused from 3 s
+/// on; the difference allows for a late signal.
+constexpr Millis estimatedRunsInStop = {2'500}; // ms
+
+/// Latest time at which a stopping host may send a request that arrived at `arrived`. Its answer
+/// ends by `endsBy` at the latest, the deadline of its caller or route, and after `longestRun` by
+/// an estimate, which some answers exceed. The begin of the stop, which is over, if it must not be
+/// sent.
+Millis lastSendBeforeStop(const PlannedStop &stop, Millis arrived, Millis endsBy,
+                          Millis longestRun);
+
 /// Records whether a request to the server succeeded. A success resets the count of failures.
 void recordServerResult(KnownServer &known, bool good, Millis time);
 
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -194,6 +194,13 @@
     return std::min(allowed, std::max(known, guess));
 }
 
+Millis lastSendBeforeStop(const PlannedStop &stop, Millis arrived, Millis endsBy, Millis longestRun)
+{
+    if (arrived < stop.m_began + estimatedRunsInStop)
+        return stop.m_deadline - longestRun;
+    return endsBy <= stop.m_deadline ? endsBy : stop.m_began;
+}
+
 void recordServerResult(KnownServer &known, bool good, Millis time)
 {
     if (good) {
--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -71,13 +71,14 @@
     demand.m_waitingCalls.erase(call);
 }
 
-/// Latest time at which a stopping host may still send the request: its answer would be cut if it
-/// wasn't complete when the host stops.
+/// Latest time at which this host, which is stopping, may still send the request.
 Millis lastSendBeforeStop(const Relay &relay)
 {
     Gateway &gateway = *relay.m_gateway;
     const RunTimes &times = gateway.m_runTimes[relay.m_route->m_name];
-    return stopDeadline(gateway) - longestRunTime(times, remainingTime(relay), now(gateway));
+    const PlannedStop stop = {gateway.m_stopStartedAt, stopDeadline(gateway)};
+    return lastSendBeforeStop(stop, relay.m_arrived, relay.m_deadline,
+                              longestRunTime(times, remainingTime(relay), now(gateway)));
 }
 
 /// Whether a stopping host has to refuse the request. One that may have been executed is carried on
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(answerTimeoutLeavesTimeOnlyForAPermittedRetry);
     CPPUNIT_TEST(modelWaitEndsBeforeTheCallerGivesUp);
     CPPUNIT_TEST(longestRunTimeFollowsRecentAnswers);
+    CPPUNIT_TEST(lateInAStopOnlyRequestsThatSurelyEndAreSent);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(retryBudgetExpiresAfterItsWindow);
     CPPUNIT_TEST(hostsTogetherKeepToTheRetryBudget);
@@ -242,6 +243,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{5'600}, maxModelWait(route, {8'000}).m_count);
     }
 
+    /// Guards against a stream that is taken late in a stop, since earlier ones were short, and cut
+    /// off as it takes longer: then only the request's own deadline says that it ends in time.
+    void lateInAStopOnlyRequestsThatSurelyEndAreSent()
+    {
+        const PlannedStop stop = {start, start + Millis{7'100}};
+        constexpr Millis run = {1'500};
+        const auto lastSend = [&](std::int64_t arrived, std::int64_t allowed) {
+            const Millis arrivedAt = start + Millis{arrived};
+            return (lastSendBeforeStop(stop, arrivedAt, arrivedAt + Millis{allowed}, run) - start)
+                .m_count;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'600}, lastSend(-1'000, 12'000)); // it waited already
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'600}, lastSend(2'400, 12'000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSend(2'500, 12'000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSend(3'400, 3'800));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7'000}, lastSend(3'400, 3'600));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7'100}, lastSend(5'600, 1'500));
+    }
+
     /// Guards against a stopping host that takes requests which it can't finish, or refuses ones
     /// that it could: the estimate must follow the longest recent answer of the route, not an old
     /// one, and without answers be neither zero nor all the time that is left.
