--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -142,8 +142,23 @@
     co_return !error;
 }
 
+/// Counts a request in its listener's m_openRequests, as long as this object lives.
+struct OpenRequest
+{
+    explicit OpenRequest(TcpListener &listener) : m_listener(listener)
+    {
+        m_listener.m_openRequests += 1;
+    }
+    ~OpenRequest() { m_listener.m_openRequests -= 1; }
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+    TcpListener &m_listener;
+};
+
 /// Serves one request; true if the connection can be used for another one.
-asio::awaitable<bool> serveRequest(std::shared_ptr<HttpSession> session, const HttpHandler &handler)
+asio::awaitable<bool> serveRequest(std::shared_ptr<HttpSession> session, const HttpHandler &handler,
+                                   TcpListener &listener)
 {
     http::request_parser<http::string_body> parser;
     parser.body_limit(session->m_options->m_bodyLimit);
@@ -151,6 +166,7 @@
     session->m_buffer.max_size(session->m_options->m_headLimit + connectionBufferLimit);
     if (!co_await waitForBytes(*session))
         co_return false;
+    const OpenRequest open(listener);
     session->m_stream.expires_after(toChrono(session->m_options->m_headTimeout));
     const auto [error, bytes]
         = co_await http::async_read(session->m_stream, session->m_buffer, parser, useAwaitable);
@@ -188,7 +204,7 @@
 {
     auto session = std::make_shared<HttpSession>(
         HttpSession{beast::tcp_stream(std::move(socket)), {}, std::move(options), true});
-    while (co_await serveRequest(session, handler)) {
+    while (co_await serveRequest(session, handler, *listener)) {
         if (listener->m_stopped)
             break;
     }
--- a/src/connection/tcp.cpp
+++ b/src/connection/tcp.cpp
@@ -34,8 +34,8 @@
 Result<std::shared_ptr<TcpListener>> listenTcp(const std::vector<asio::io_context *> &ios,
                                                const Endpoint &endpoint, TcpHandler handler)
 {
-    auto listener = std::make_shared<TcpListener>(
-        TcpListener{tcp::acceptor(*ios.front()), ios, std::move(handler)});
+    auto listener
+        = std::make_shared<TcpListener>(tcp::acceptor(*ios.front()), ios, std::move(handler));
     const tcp::endpoint at = toTcpEndpoint(endpoint);
     boost::system::error_code error;
     listener->m_acceptor.open(at.protocol(), error);
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -4,6 +4,7 @@
 
 #include "apricot.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
@@ -20,11 +21,19 @@
 /// shared pointer to the listener, since the listener owns the handler that serves them all.
 struct TcpListener
 {
+    TcpListener(asio::ip::tcp::acceptor acceptor, std::vector<asio::io_context *> ios,
+                TcpHandler handler)
+        : m_acceptor(std::move(acceptor)), m_ios(std::move(ios)), m_handler(std::move(handler))
+    {
+    }
+
     asio::ip::tcp::acceptor m_acceptor;
     std::vector<asio::io_context *> m_ios; // at least one
     TcpHandler m_handler;
     std::size_t m_next = 0; // counts connections; modulo m_ios.size(): index for the next one
     bool m_stopped = false; // accepts no more connections
+    /// HTTP requests of which a byte was read and whose answer isn't complete.
+    std::atomic<std::size_t> m_openRequests = 0;
 };
 
 /// Listens and serves each connection with the handler. Failure if the port is taken.
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -106,11 +106,37 @@
 /// return. While a service has several versions the record stays: its streams may be taken up.
 asio::awaitable<void> removeOwnRecord(Gateway &gateway)
 {
-    for (const auto &[service, versions] : gateway.m_serviceVersions.m_listedAt) {
-        if (hasSeveralVersions(gateway.m_serviceVersions, service))
-            co_return;
+    bool severalVersions = false;
+    for (const auto &[service, versions] : gateway.m_serviceVersions.m_listedAt)
+        severalVersions |= hasSeveralVersions(gateway.m_serviceVersions, service);
+    if (!severalVersions)
+        co_await removeOriginRecord(gateway, gateway.m_settings.m_host);
+    gateway.m_originRecord.m_removed = true;
+}
+
+/// Whether requests were read, of callers or of other hosts, whose answers aren't complete.
+bool hasOpenRequests(const Gateway &gateway)
+{
+    return gateway.m_callers->m_openRequests > 0 || gateway.m_hostPort->m_openRequests > 0;
+}
+
+/// Serves callers until a planned stop may end. Until callers know other addresses, and while a
+/// request is open or there is something to do in the store, it goes on, up to the time limit. The
+/// caller must end the process without waiting for anything: a request may arrive at any time.
+asio::awaitable<void> serveUntilStopEnds(Gateway &gateway)
+{
+    const Millis noNewCallersAt
+        = gateway.m_stopStartedAt + gateway.m_settings.m_addressLifetime * addressLifetimesOnStop;
+    bool removing = false;
+    while (now(gateway) < stopDeadline(gateway)) {
+        if (now(gateway) >= noNewCallersAt && !std::exchange(removing, true))
+            begin(gateway, "remove_own_record", removeOwnRecord(gateway));
+        const bool storeDone
+            = gateway.m_originRecord.m_removed && gateway.m_lease.m_fencingToken == 0;
+        if (storeDone && !hasOpenRequests(gateway))
+            break;
+        co_await pauseFor(gateway, stopPollInterval);
     }
-    co_await removeOriginRecord(gateway, gateway.m_settings.m_host);
 }
 
 asio::awaitable<void> logExceptions(const char *name, asio::awaitable<void> work)
@@ -263,16 +289,8 @@
     broadcastHeartbeat(gateway);
     begin(gateway, "release", releaseLease(gateway));
     begin(gateway, "unregister", unregisterHost(gateway));
-    const Millis noNewCallersAt
-        = gateway.m_stopStartedAt + gateway.m_settings.m_addressLifetime * addressLifetimesOnStop;
     wakeWaiting(gateway); // requests that wait for a model may have to end their wait earlier now
-    while (now(gateway) < stopDeadline(gateway)) {
-        const bool idle = gateway.m_relays.empty() && gateway.m_lease.m_fencingToken == 0;
-        if (now(gateway) >= noNewCallersAt && idle)
-            break;
-        co_await pauseFor(gateway, stopPollInterval);
-    }
-    co_await removeOwnRecord(gateway);
+    co_await serveUntilStopEnds(gateway);
     logEvent("stopped", {{"in_flight", std::to_string(gateway.m_relays.size())}});
     gateway.m_io.stop();
 }
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -260,11 +260,12 @@
 /// the record may hold what only an earlier process of this host knew.
 struct OriginRecordState
 {
-    bool m_read = false;          // the records of all hosts were read since this process started
-    std::uint64_t m_position = 0; // of this host's record in the store; 0: there is none
-    OriginRecord m_written;       // as last written
-    std::uint64_t m_wanted = 0;   // counts the origins that the record has to hold
-    std::uint64_t m_stored = 0;   // of these, those that it holds
+    bool m_read = false;    // the records of all hosts were read since this process started
+    bool m_removed = false; // at the end of a stop: this host's record was removed, or is kept
+    std::uint64_t m_position = 0;         // of this host's record in the store; 0: there is none
+    OriginRecord m_written;               // as last written
+    std::uint64_t m_wanted = 0;           // counts the origins that the record has to hold
+    std::uint64_t m_stored = 0;           // of these, those that it holds
     std::list<WakeableTimer *> m_waiting; // requests that wait for the next write
     std::unique_ptr<WakeableTimer> m_trigger;
 };
