--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -217,6 +217,9 @@
     gateway->m_servers.m_io = &gateway->m_io;
     gateway->m_servers.m_ackTimeout = serverAckTimeout;
     gateway->m_servers.m_maxIdleTime = serverConnectionIdleTime;
+    gateway->m_commands.m_io = &gateway->m_io;
+    gateway->m_commands.m_ackTimeout = serverAckTimeout;
+    gateway->m_commands.m_maxIdleTime = serverConnectionIdleTime;
     gateway->m_hosts.m_io = &gateway->m_io;
     gateway->m_hosts.m_ackTimeout = serverAckTimeout;
     gateway->m_hosts.m_maxIdleTime = serverConnectionIdleTime;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -298,8 +298,12 @@
     std::mt19937_64 m_random;
 
     HttpPool m_store;   // connections to the platform's store
-    HttpPool m_servers; // connections to backend servers
-    HttpPool m_hosts;   // connections to other hosts
+    HttpPool m_servers; // connections to backend servers, for callers' requests only
+    /// Connections to backend servers, for orders and reports. Their answers have no request id, so
+    /// a late copy of one can't be told from the answer to a caller's request on the same
+    /// connection.
+    HttpPool m_commands;
+    HttpPool m_hosts; // connections to other hosts
     PathWatch m_paths;
     BodyBudget m_answerBytes; // answers read completely before they are passed on
     StoreHealth m_storeHealth;
--- a/src/process/ordertracking.cpp
+++ b/src/process/ordertracking.cpp
@@ -33,7 +33,7 @@
 {
     HttpRequest request = gateway.m_protocol->makeReportRequest();
     const auto response
-        = co_await fetchHttp(gateway.m_servers, endpoint, std::move(request), reportTimeout);
+        = co_await fetchHttp(gateway.m_commands, endpoint, std::move(request), reportTimeout);
     if (!ok(response))
         co_return std::get<Failure>(response);
     co_return gateway.m_protocol->readReport(std::get<HttpResponse>(response));
@@ -80,7 +80,7 @@
 {
     HttpRequest request = gateway.m_protocol->writeCommand(command, gateway.m_settings.m_host,
                                                            gateway.m_lease.m_fencingToken);
-    auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, orderTimeout, false);
+    auto opened = co_await openHttpConnection(gateway.m_commands, endpoint, orderTimeout, false);
     // While the connection was opened, the lease may have expired, or this machine may have been
     // suspended.
     if (!ok(opened) || !holdsLease(gateway))
@@ -97,7 +97,7 @@
     response.m_head = std::get<HttpHead>(head);
     if (ok(body)) {
         response.m_body = std::get<std::string>(std::move(body));
-        releaseHttpConnection(gateway.m_servers, endpoint, connection);
+        releaseHttpConnection(gateway.m_commands, endpoint, connection);
     }
     co_return gateway.m_protocol->readCommandReply(response);
 }
