--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -161,86 +161,148 @@
         || holdsModel(latestStatus(known), metadata.m_model, metadata.m_adapter);
 }
 
-asio::awaitable<Result<Destination>> findDestination(Relay &relay)
+namespace {
+
+/// The refusal of a request that must not be sent now, whatever server could execute it.
+std::optional<Failure> refusalBeforeChoice(const Relay &relay)
+{
+    if (tooLateBeforeStop(relay))
+        return makeFailure(ErrorKind::Stopping, "the answer would not end before the stop",
+                           retryElsewhereAfter);
+    if (auto refusal = versionRefusal(relay))
+        return refusal;
+    return quarantineRefusal(*relay.m_gateway, relay.m_causes);
+}
+
+/// Another host for a request that this one can't send. If no host is left, chooses once more among
+/// the servers, also those that none of the hosts asked reaches, and returns nothing.
+std::optional<Result<Destination>> chooseOtherHost(Relay &relay)
+{
+    if (!relay.m_forwardedBy.m_text.empty())
+        return makeFailure(ErrorKind::ReachedElsewhere,
+                           "this host doesn't reach the servers either");
+    if (const auto host = chooseForwardHost(relay))
+        return toHost(*host);
+    recordDownEverywhere(relay);
+    if (relay.m_streamBegunElsewhere)
+        return makeFailure(ErrorKind::NoBackendServer,
+                           "no other host is left to continue the stream");
+    ChoiceInput input = choiceInput(relay);
+    input.m_alsoCutOff = relay.m_hostsWithoutPath == 0;
+    relay.m_choice = chooseServer(relay.m_gateway->m_serverTable, input, relay.m_chosenAt);
+    return std::nullopt;
+}
+
+/// Chooses a server with what this host knows now, and notes how old that is.
+std::optional<Result<Destination>> chooseNow(Relay &relay)
+{
+    Gateway &gateway = *relay.m_gateway;
+    relay.m_chosenAt = now(gateway);
+    relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
+    if (needsOtherHost(relay)) {
+        if (auto elsewhere = chooseOtherHost(relay))
+            return elsewhere;
+    }
+    countRequest(relay);
+    relay.m_serverTableRevision = gateway.m_serverTable.m_revision;
+    relay.m_serverTableAge = relay.m_chosenAt - gateway.m_serverTable.m_confirmedAt;
+    if (!relay.m_choice.m_server.m_text.empty() && !isLimited(relay))
+        return toServer(relay.m_choice.m_server);
+    return std::nullopt;
+}
+
+/// Asks for a permit to send the request to the chosen server, which named a limit, or waits until
+/// one may be given. Returns nothing if a server has to be chosen again.
+asio::awaitable<std::optional<Result<Destination>>> awaitPermit(Relay &relay, Millis waitEnd)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const bool chosen = !relay.m_choice.m_server.m_text.empty();
+    if (chosen && relay.m_permitAsks < maxPermitAsks) {
+        relay.m_permitAsks += 1;
+        if (co_await requestPermit(gateway, relay.m_choice.m_server))
+            co_return toServer(relay.m_choice.m_server);
+        co_return std::nullopt;
+    }
+    const Millis permitAt = relay.m_choice.m_permitAt.value_or(relay.m_chosenAt + retryPause);
+    const Millis wait = std::max(permitAt - now(gateway), Millis{1});
+    if (relay.m_permitWaits == maxPermitWaits || now(gateway) + wait >= waitEnd)
+        co_return makeFailure(ErrorKind::NoCapacity,
+                              "the servers are at the limits that they named", wait);
+    relay.m_permitWaits += 1;
+    relay.m_permitAsks = maxPermitAsks - 1;
+    co_await pauseFor(gateway, wait);
+    co_return std::nullopt;
+}
+
+/// The refusal of a request that no server can execute now, unless waiting may help.
+std::optional<Failure> refusalWithoutServer(const Relay &relay, Millis waitEnd)
+{
+    const Gateway &gateway = *relay.m_gateway;
+    if (onlyPausesAreLeft(relay))
+        return makeFailure(ErrorKind::NoCapacity, "the servers asked for a pause",
+                           std::max(*relay.m_choice.m_pauseEnd - now(gateway), Millis{1}));
+    if (!relay.m_refusedBy.empty())
+        return std::nullopt;
+    if (relay.m_metadata.m_model.m_text.empty() || relay.m_runs > 0)
+        return makeFailure(ErrorKind::NoBackendServer, "no server available", defaultRetryAfter);
+    if (!modelPublished(relay))
+        return makeFailure(ErrorKind::NoCapacity, "the model isn't published", defaultRetryAfter);
+    if (!isHolderAlive(gateway))
+        return makeFailure(ErrorKind::NoCapacity, "no host holds the lease to order a load",
+                           timeUntilOrders(gateway));
+    if (waitEnd - now(gateway) <= minTimeToSend)
+        return makeFailure(ErrorKind::DeadlineUnmeetable, "the model was not loaded in time",
+                           defaultRetryAfter);
+    return std::nullopt;
+}
+
+/// Waits before a server is chosen again. If no untried server is left, but some refused the
+/// request without executing it, for example because they were full, all are tried again after a
+/// pause.
+asio::awaitable<void> waitForServer(Relay &relay, Millis waitEnd)
 {
     Gateway &gateway = *relay.m_gateway;
+    if (relay.m_refusedBy.empty())
+        co_return co_await waitForModel(relay, waitEnd - now(gateway));
+    relay.m_triedServers = {};
+    relay.m_refusedBy = {};
+    co_await pauseFor(gateway, retryPause);
+}
+
+/// The refusal of a request whose caller or time was lost while it waited.
+std::optional<Failure> refusalAfterWait(const Relay &relay)
+{
+    if (callerDisconnected(relay))
+        return makeFailure(ErrorKind::CallerGone,
+                           "the caller disconnected while the request waited", RunState::NotRun);
+    if (remainingTime(relay) <= minTimeToSend)
+        return makeFailure(ErrorKind::DeadlineUnmeetable,
+                           "not enough time left before the deadline", shortRetryAfter);
+    return std::nullopt;
+}
+
+} // namespace
+
+asio::awaitable<Result<Destination>> findDestination(Relay &relay)
+{
     while (true) {
-        if (tooLateBeforeStop(relay))
-            co_return makeFailure(ErrorKind::Stopping, "the answer would not end before the stop",
-                                  retryElsewhereAfter);
-        if (const auto refusal = versionRefusal(relay))
-            co_return *refusal;
-        if (const auto refusal = quarantineRefusal(gateway, relay.m_causes))
+        if (const auto refusal = refusalBeforeChoice(relay))
             co_return *refusal;
         const Millis waitEnd = modelWaitEnd(relay);
-        relay.m_chosenAt = now(gateway);
-        relay.m_choice = chooseServer(gateway.m_serverTable, choiceInput(relay), relay.m_chosenAt);
-        if (needsOtherHost(relay)) {
-            if (!relay.m_forwardedBy.m_text.empty())
-                co_return makeFailure(ErrorKind::ReachedElsewhere,
-                                      "this host doesn't reach the servers either");
-            if (const auto host = chooseForwardHost(relay))
-                co_return toHost(*host);
-            recordDownEverywhere(relay);
-            if (relay.m_streamBegunElsewhere)
-                co_return makeFailure(ErrorKind::NoBackendServer,
-                                      "no other host is left to continue the stream");
-            ChoiceInput input = choiceInput(relay);
-            input.m_alsoCutOff = relay.m_hostsWithoutPath == 0;
-            relay.m_choice = chooseServer(gateway.m_serverTable, input, relay.m_chosenAt);
-        }
-        countRequest(relay);
-        relay.m_serverTableRevision = gateway.m_serverTable.m_revision;
-        relay.m_serverTableAge = relay.m_chosenAt - gateway.m_serverTable.m_confirmedAt;
-        const bool found = !relay.m_choice.m_server.m_text.empty();
-        if (found && !isLimited(relay))
-            co_return toServer(relay.m_choice.m_server);
-        if (found && relay.m_permitAsks < maxPermitAsks) {
-            relay.m_permitAsks += 1;
-            if (co_await requestPermit(gateway, relay.m_choice.m_server))
-                co_return toServer(relay.m_choice.m_server);
-        } else if (found || relay.m_choice.m_permitAt) {
-            const Millis permitAt
-                = relay.m_choice.m_permitAt.value_or(relay.m_chosenAt + retryPause);
-            const Millis wait = std::max(permitAt - now(gateway), Millis{1});
-            if (relay.m_permitWaits == maxPermitWaits || now(gateway) + wait >= waitEnd)
-                co_return makeFailure(ErrorKind::NoCapacity,
-                                      "the servers are at the limits that they named", wait);
-            relay.m_permitWaits += 1;
-            relay.m_permitAsks = maxPermitAsks - 1;
-            co_await pauseFor(gateway, wait);
-        } else if (onlyPausesAreLeft(relay)) {
-            co_return makeFailure(ErrorKind::NoCapacity, "the servers asked for a pause",
-                                  std::max(*relay.m_choice.m_pauseEnd - now(gateway), Millis{1}));
-        } else if (!relay.m_refusedBy.empty()) {
-            // No untried server is left, but some refused the request without executing it, for
-            // example because they were full: try all servers again after a pause.
-            relay.m_triedServers = {};
-            relay.m_refusedBy = {};
-            co_await pauseFor(gateway, retryPause);
-        } else if (relay.m_metadata.m_model.m_text.empty() || relay.m_runs > 0) {
-            co_return makeFailure(ErrorKind::NoBackendServer, "no server available",
-                                  defaultRetryAfter);
-        } else if (!modelPublished(relay)) {
-            co_return makeFailure(ErrorKind::NoCapacity, "the model isn't published",
-                                  defaultRetryAfter);
-        } else if (!isHolderAlive(gateway)) {
-            co_return makeFailure(ErrorKind::NoCapacity, "no host holds the lease to order a load",
-                                  timeUntilOrders(gateway));
+        if (const auto result = chooseNow(relay))
+            co_return *result;
+        const bool needsPermit
+            = !relay.m_choice.m_server.m_text.empty() || relay.m_choice.m_permitAt;
+        if (needsPermit) {
+            if (const auto result = co_await awaitPermit(relay, waitEnd))
+                co_return *result;
         } else {
-            const Millis left = waitEnd - now(gateway);
-            if (left <= minTimeToSend)
-                co_return makeFailure(ErrorKind::DeadlineUnmeetable,
-                                      "the model was not loaded in time", defaultRetryAfter);
-            co_await waitForModel(relay, left);
+            if (const auto refusal = refusalWithoutServer(relay, waitEnd))
+                co_return *refusal;
+            co_await waitForServer(relay, waitEnd);
         }
-        if (callerDisconnected(relay))
-            co_return makeFailure(ErrorKind::CallerGone,
-                                  "the caller disconnected while the request waited",
-                                  RunState::NotRun);
-        if (remainingTime(relay) <= minTimeToSend)
-            co_return makeFailure(ErrorKind::DeadlineUnmeetable,
-                                  "not enough time left before the deadline", shortRetryAfter);
+        if (const auto refusal = refusalAfterWait(relay))
+            co_return *refusal;
     }
 }
 
