Client accounts: API keys, names in place of keys, limits over all hosts

Cause: the product knew no client accounts.

Change: src/accounts decides on keys, their freshness and the token buckets; the lease holder grants each request of an account with a limit, asked by datagram; hosts confirm the configuration by asking each other; costs of what did not run are returned. In force only if the configuration lists accounts.

--- a/src/apricot.h
+++ b/src/apricot.h
@@ -188,6 +188,10 @@
     PartQuarantined,
     RequestQuarantined,
     ReachedElsewhere,
+    KeyUnknown,
+    KeyUnverifiable,
+    QuotaExceeded,
+    QuotaUnavailable,
 };
 
 /// Whether a backend server ran the request, as far as this host knows. NotRun is a guarantee: it
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,6 +25,7 @@
 // unless the comment says otherwise.
 #pragma once
 
+#include "accounts/accounts.h"
 #include "apricot.h"
 #include "backendservers.h"
 #include "connection/http.h"
@@ -64,6 +65,7 @@
     Millis m_target = {1'000};   // target latency, ms, from arrival to answer or first event
     int m_priority = 5;          // 0 is the most urgent
     int m_maxAttempts = 1;       // maximum number of servers that may execute the same request
+    bool m_public = false;       // needs no API key
     std::vector<WeightedService> m_services; // at least one
 };
 
@@ -110,6 +112,7 @@
     std::vector<Route> m_routes; // by host, then longest prefix first; see sortRoutes()
     std::map<ServiceName, RoutedService> m_services;
     CallerLimits m_limits;
+    AccountTable m_accounts; // see accounts/accounts.h
 };
 
 /// Sorts the routes into the order that matchRoute() relies on.
@@ -158,6 +161,8 @@
     std::string m_sharedPrompt; // names prompt parts shared with other requests; empty: none
     std::vector<PromptPart> m_sharedParts; // the same parts in order, each once
     std::optional<Millis> m_timeAllowed;   // ms that the caller waits; empty: not stated
+    std::string m_key;                     // API key that it presents; empty: none
+    std::optional<std::int64_t> m_tokens;  // prompt and most output; empty: not stated
 };
 
 /// Id of the attempt that began what the request asks for: a stream that it takes up, or itself.
@@ -173,6 +178,9 @@
     Millis m_timeAllowed;                     // time left until the deadline
     std::optional<int> m_priority;            // 0 is the most urgent
     std::optional<std::string> m_resumeAfter; // id of the last event that the caller has
+    /// Account of the caller, in place of its API key, which no server gets; an empty name: of
+    /// none. Empty: no accounts are published, and what the caller sent is passed on.
+    std::optional<AccountName> m_account;
 };
 
 /// Metadata that a host adds to a request that it sends through another host, which chooses the
@@ -714,6 +722,12 @@
     double m_retrySlack = 10;              // retries allowed in addition, shared by all hosts
     Millis m_retryWindow = {10'000};       // ms, window in which requests and retries are counted
     Millis m_addressLifetime = {2'000};    // ms that callers may cache an address answer
+    /// ms after a key was revoked for which some host may still accept it, also one that lost
+    /// contact; 0: a host that lost contact goes on with the configuration that it has.
+    Millis m_keyCheckWithin = {0};
+    /// Tokens, or requests, that an account may get beyond its limit in some seconds, over all
+    /// hosts; 0: none.
+    double m_accountSlack = 0;
 };
 
 /// Reads and checks a settings file; returns all faults found if it isn't valid.
--- /dev/null
+++ b/src/process/accountgate.cpp
@@ -0,0 +1,305 @@
+// Messages between hosts about client accounts: confirmations of the configuration, on which API
+// keys depend, and grants of the lease holder for accounts with a limit.
+#include "process/accountgate.h"
+#include "process/log.h"
+
+#include <cmath>
+
+namespace apricot {
+
+namespace {
+
+constexpr Millis confirmInterval = {250}; // ms between two steps of keepKeysConfirmed()
+/// Age of the confirmation from which on another host is asked for a newer one.
+constexpr Millis askAge = {900};
+/// The same for a second host, chosen at random: the first may be gone.
+constexpr Millis askOthersAge = {1'600};
+/// The same for the store.
+constexpr Millis readAge = {2'400};
+constexpr Millis readInterval = {1'200};       // ms between two questions of this host to the store
+constexpr Millis askLifetime = {10'000};       // ms; a reply to an older question is ignored
+constexpr Millis quotaReplyTimeout = {150};    // ms; some round trips, and a busy event loop
+constexpr int quotaAsks = 2;                   // of one request: a datagram may be lost
+constexpr Millis recentDecisionTime = {2'000}; // ms; a question is repeated sooner than that
+constexpr std::size_t maxRecentDecisions = 20'000; // more than are asked for in that time
+constexpr Millis silenceLogInterval = {1'000};
+/// Without a heartbeat of the lease holder for longer than this it isn't asked.
+constexpr Millis holderTimeout = {2'500};
+
+Millis confirmationAge(const Gateway &gateway)
+{
+    return now(gateway) - gateway.m_accounts->m_confirmation.m_confirmedAt;
+}
+
+/// Whether keys depend on the confirmation of the configuration.
+bool mustConfirmKeys(const Gateway &gateway)
+{
+    return gateway.m_settings.m_keyCheckWithin > Millis{0} && gateway.m_routes
+        && gateway.m_routes->m_accounts.m_required;
+}
+
+/// The lease holder among the other hosts; null if none is known to be alive.
+const Peer *holderPeer(const Gateway &gateway)
+{
+    const auto peer = gateway.m_peers.find(gateway.m_holder);
+    const bool alive = now(gateway) - gateway.m_holderHeartbeatAt < holderTimeout;
+    return alive && peer != gateway.m_peers.end() ? &peer->second : nullptr;
+}
+
+/// A ready host at random; null if there is none.
+const Peer *randomPeer(Gateway &gateway)
+{
+    const Peer *chosen = nullptr;
+    unsigned seen = 0;
+    for (const auto &[host, peer] : gateway.m_peers) {
+        if (peer.m_ready && gateway.m_random() % ++seen == 0)
+            chosen = &peer;
+    }
+    return chosen;
+}
+
+void sendAccountMessage(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat)
+{
+    sendDatagram(gateway, MessageKind::Account, peer.m_entry.m_peer, encodeHeartbeat(heartbeat));
+}
+
+void askForConfirmation(Gateway &gateway, const Peer *peer)
+{
+    if (!peer)
+        return;
+    AccountGate &gate = *gateway.m_accounts;
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    heartbeat.confirmation_ask = ++gate.m_lastNumber;
+    gate.m_confirmationAsks[gate.m_lastNumber] = now(gateway);
+    sendAccountMessage(gateway, *peer, heartbeat);
+}
+
+void replyToConfirmationAsk(Gateway &gateway, const Peer &peer, std::uint64_t number)
+{
+    if (!gateway.m_routes)
+        return;
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    heartbeat.confirmation_reply = std::make_unique<wire::ConfirmationReplyT>();
+    heartbeat.confirmation_reply->number = number;
+    heartbeat.confirmation_reply->version = gateway.m_routes->m_version;
+    heartbeat.confirmation_reply->age_ms = confirmationAge(gateway).m_count;
+    sendAccountMessage(gateway, peer, heartbeat);
+}
+
+void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    const auto asked = gate.m_confirmationAsks.find(reply.number);
+    if (asked == gate.m_confirmationAsks.end() || !gateway.m_routes)
+        return;
+    const ConfirmationReply known = {asked->second, {reply.age_ms}, reply.version};
+    gate.m_confirmationAsks.erase(asked);
+    if (!applyConfirmation(gate.m_confirmation, known, gateway.m_routes->m_version))
+        catchUp(gateway, reply.version, 0, 0);
+}
+
+/// Decides on a request of an account, as the lease holder. Empty: this host doesn't hold the
+/// lease, or doesn't know the account.
+std::optional<QuotaReply> decideQuota(Gateway &gateway, AccountId id, double cost)
+{
+    if (!holdsLease(gateway) || !gateway.m_routes)
+        return {};
+    const Account *account = findAccount(gateway.m_routes->m_accounts, id);
+    if (!account)
+        return {};
+    QuotaLedger &ledger
+        = ledgerOf(gateway.m_accounts->m_ledger, gateway.m_lease.m_fencingToken, now(gateway));
+    QuotaRequest request;
+    request.m_account = id;
+    request.m_limit = account->m_limit;
+    request.m_cost = cost;
+    // Half of the slack: another lease may overdraw within the same time.
+    request.m_overdraft = gateway.m_settings.m_accountSlack / 2;
+    const QuotaReply reply = takeQuota(ledger, request, now(gateway));
+    countQuotaDecision(gateway.m_metrics, reply.m_granted ? "granted" : "refused");
+    return reply;
+}
+
+/// As above, for a question that may come twice: both get the same reply.
+std::optional<QuotaReply> decideOnce(Gateway &gateway, const HostName &asker,
+                                     const wire::QuotaAskT &ask)
+{
+    auto &recent = gateway.m_accounts->m_recent;
+    const std::pair<HostName, std::uint64_t> key = {asker, ask.number};
+    const auto found = recent.find(key);
+    if (found != recent.end())
+        return found->second.m_reply;
+    const auto reply = decideQuota(gateway, {ask.account}, ask.cost);
+    const Millis time = now(gateway);
+    if (recent.size() >= maxRecentDecisions)
+        std::erase_if(recent, [&](const auto &entry) {
+            return time - entry.second.m_at >= recentDecisionTime;
+        });
+    if (reply && recent.size() < maxRecentDecisions)
+        recent[key] = {*reply, time};
+    return reply;
+}
+
+void replyToQuotaAsk(Gateway &gateway, const Peer &peer, const wire::QuotaAskT &ask)
+{
+    if (!std::isfinite(ask.cost) || ask.cost < 0)
+        return;
+    const auto reply = decideOnce(gateway, peer.m_entry.m_host, ask);
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    heartbeat.quota_reply = std::make_unique<wire::QuotaReplyT>();
+    heartbeat.quota_reply->number = ask.number;
+    heartbeat.quota_reply->decided = reply.has_value();
+    heartbeat.quota_reply->granted = reply && reply->m_granted;
+    heartbeat.quota_reply->wait_ms = reply ? static_cast<std::int32_t>(reply->m_wait.m_count) : 0;
+    sendAccountMessage(gateway, peer, heartbeat);
+}
+
+void applyQuotaReply(Gateway &gateway, const wire::QuotaReplyT &reply)
+{
+    const auto pending = gateway.m_accounts->m_pendingQuotas.find(reply.number);
+    if (pending == gateway.m_accounts->m_pendingQuotas.end())
+        return; // too late: what was granted stays counted
+    pending->second->m_replied = true;
+    pending->second->m_decided = reply.decided;
+    pending->second->m_reply = {reply.granted, {std::max(reply.wait_ms, 1)}};
+    wake(pending->second->m_timer);
+}
+
+void applyReturn(Gateway &gateway, AccountId id, double cost)
+{
+    const Account *account
+        = gateway.m_routes ? findAccount(gateway.m_routes->m_accounts, id) : nullptr;
+    if (!account || !holdsLease(gateway) || !std::isfinite(cost) || cost < 0)
+        return;
+    QuotaLedger &ledger
+        = ledgerOf(gateway.m_accounts->m_ledger, gateway.m_lease.m_fencingToken, now(gateway));
+    returnQuota(ledger, {id, account->m_limit, cost}, now(gateway));
+}
+
+void logSilence(Gateway &gateway, const char *why)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    countQuotaDecision(gateway.m_metrics, "unanswered");
+    if (now(gateway) - gate.m_silenceLoggedAt < silenceLogInterval)
+        return;
+    gate.m_silenceLoggedAt = now(gateway);
+    logWarning("quota_undecided", {{"holder", gateway.m_holder.m_text}, {"why", why}});
+}
+
+/// Logs when the confirmation becomes too old for API keys, and when it is fresh again.
+void watchConfirmationAge(Gateway &gateway)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    const Millis age = confirmationAge(gateway);
+    setConfirmationAge(gateway.m_metrics, age);
+    const bool lost = age >= gateway.m_settings.m_keyCheckWithin;
+    if (lost == std::exchange(gate.m_confirmationLost, lost))
+        return;
+    if (lost)
+        logWarning("keys_unverifiable", {{"age_ms", std::to_string(age.m_count)}});
+    else
+        logEvent("keys_verifiable", {{"age_ms", std::to_string(age.m_count)}});
+}
+
+} // namespace
+
+std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber)
+{
+    auto gate = std::make_shared<AccountGate>();
+    gate->m_lastNumber = firstNumber;
+    return gate;
+}
+
+void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    // A version that can't be read may have revoked keys that the one in force still has.
+    if (revision != gate.m_unreadableRevision && gateway.m_routes)
+        confirmKeys(gate.m_confirmation, began);
+}
+
+asio::awaitable<void> confirmKeysIfDue(Gateway &gateway)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    if (!mustConfirmKeys(gateway))
+        co_return;
+    const Millis time = now(gateway);
+    std::erase_if(gate.m_confirmationAsks,
+                  [&](const auto &ask) { return time - ask.second >= askLifetime; });
+    watchConfirmationAge(gateway);
+    const Millis age = confirmationAge(gateway);
+    if (age >= askAge)
+        askForConfirmation(gateway, holderPeer(gateway));
+    if (age >= askOthersAge)
+        askForConfirmation(gateway, randomPeer(gateway));
+    if (age < readAge || time - gate.m_readAt < readInterval)
+        co_return;
+    gate.m_readAt = time;
+    co_await rereadConfiguration(gateway);
+}
+
+asio::awaitable<void> keepKeysConfirmed(Gateway &gateway)
+{
+    while (true) {
+        co_await confirmKeysIfDue(gateway);
+        co_await pauseFor(gateway, jittered(gateway, confirmInterval));
+    }
+}
+
+asio::awaitable<std::optional<QuotaReply>> askForQuota(Gateway &gateway, AccountId account,
+                                                       double cost)
+{
+    if (holdsLease(gateway))
+        co_return decideQuota(gateway, account, cost);
+    AccountGate &gate = *gateway.m_accounts;
+    PendingQuota pending(gateway.m_io);
+    const std::uint64_t number = ++gate.m_lastNumber;
+    gate.m_pendingQuotas[number] = &pending;
+    for (int asked = 0; asked < quotaAsks && !pending.m_replied; ++asked) {
+        const Peer *holder = holderPeer(gateway);
+        if (!holder)
+            break;
+        wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+        heartbeat.quota_ask = std::make_unique<wire::QuotaAskT>();
+        heartbeat.quota_ask->number = number;
+        heartbeat.quota_ask->account = account.m_hash;
+        heartbeat.quota_ask->cost = cost;
+        sendAccountMessage(gateway, *holder, heartbeat);
+        co_await sleepUntilWoken(pending.m_timer, quotaReplyTimeout);
+    }
+    gate.m_pendingQuotas.erase(number);
+    if (pending.m_replied && pending.m_decided)
+        co_return pending.m_reply;
+    logSilence(gateway, pending.m_replied ? "the asked host doesn't decide" : "no reply");
+    co_return std::nullopt;
+}
+
+void giveQuotaBack(Gateway &gateway, AccountId account, double cost)
+{
+    if (holdsLease(gateway))
+        return applyReturn(gateway, account, cost);
+    const Peer *holder = holderPeer(gateway);
+    if (!holder)
+        return; // the next holder doesn't count what its predecessor granted
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    heartbeat.quota_return = std::make_unique<wire::QuotaReturnT>();
+    heartbeat.quota_return->account = account.m_hash;
+    heartbeat.quota_return->cost = cost;
+    sendAccountMessage(gateway, *holder, heartbeat);
+}
+
+void applyAccountMessages(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat)
+{
+    if (heartbeat.confirmation_ask > 0)
+        replyToConfirmationAsk(gateway, peer, heartbeat.confirmation_ask);
+    if (heartbeat.confirmation_reply)
+        applyConfirmationReply(gateway, *heartbeat.confirmation_reply);
+    if (heartbeat.quota_ask)
+        replyToQuotaAsk(gateway, peer, *heartbeat.quota_ask);
+    if (heartbeat.quota_reply)
+        applyQuotaReply(gateway, *heartbeat.quota_reply);
+    if (heartbeat.quota_return)
+        applyReturn(gateway, {heartbeat.quota_return->account}, heartbeat.quota_return->cost);
+}
+
+} // namespace apricot
--- /dev/null
+++ b/src/process/accountgate.h
@@ -0,0 +1,73 @@
+// What one gateway process keeps for client accounts, and the messages between hosts about them.
+// The decisions are in accounts/accounts.h.
+//
+// Two questions are asked of other hosts, each by one datagram that is answered by another: how old
+// the confirmation of the configuration is there, and whether the lease holder grants a request of
+// an account with a limit. An answer that doesn't come is never taken for a yes.
+#pragma once
+
+#include "accounts/accounts.h"
+#include "process/heartbeat.h"
+
+namespace apricot {
+
+/// A question to the lease holder that waits for its reply.
+struct PendingQuota
+{
+    explicit PendingQuota(asio::io_context &io) : m_timer(io) { }
+
+    WakeableTimer m_timer;
+    bool m_replied = false;
+    bool m_decided = false; // false: the asked host doesn't hold the lease, or not that account
+    QuotaReply m_reply;     // valid if m_decided
+};
+
+/// A decision of this host as the lease holder, kept for a moment: the question may come twice.
+struct RecentDecision
+{
+    QuotaReply m_reply;
+    Millis m_at;
+};
+
+/// State of one gateway process.
+struct AccountGate
+{
+    KeyConfirmation m_confirmation;
+    bool m_confirmationLost = false;        // as last logged
+    std::uint64_t m_unreadableRevision = 0; // of a configuration that can't be read; 0: none
+    std::uint64_t m_lastNumber = 0;         // of the questions of this process; random at the start
+    std::map<std::uint64_t, Millis> m_confirmationAsks; // by number: when they were sent
+    Millis m_readAt = {-1'000'000'000}; // when this host itself last asked the store
+    std::map<std::uint64_t, PendingQuota *> m_pendingQuotas; // by number
+    Millis m_silenceLoggedAt = {-1'000'000'000};
+
+    // Of the lease holder.
+    QuotaLedger m_ledger;
+    std::map<std::pair<HostName, std::uint64_t>, RecentDecision> m_recent; // by asker and number
+};
+
+std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber);
+
+/// To be called when the store answered with the configuration at that revision. `began`: when it
+/// was asked.
+void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began);
+
+/// Keeps the confirmation of the configuration fresh, by other hosts or else by the store, while
+/// API keys depend on it.
+asio::awaitable<void> keepKeysConfirmed(Gateway &gateway);
+
+/// One step of the above.
+asio::awaitable<void> confirmKeysIfDue(Gateway &gateway);
+
+/// Asks the lease holder whether a request of the account may be sent to a server. Empty if no host
+/// decided on it.
+asio::awaitable<std::optional<QuotaReply>> askForQuota(Gateway &gateway, AccountId account,
+                                                       double cost);
+
+/// Gives back what was granted for a request that has not run.
+void giveQuotaBack(Gateway &gateway, AccountId account, double cost);
+
+/// Takes over questions, replies and returns from another host.
+void applyAccountMessages(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat);
+
+} // namespace apricot
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -1,6 +1,6 @@
 // Starts, stops and reconfigures a gateway, and answers address, readiness and metrics requests.
 // Also contains the calculation of request rates and the helpers for coroutines.
-#include "process/gatewaystate.h"
+#include "process/accountgate.h"
 #include "process/log.h"
 
 #include <boost/asio.hpp>
@@ -225,6 +225,7 @@
     gateway->m_hosts.m_maxIdleTime = serverConnectionIdleTime;
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
+    gateway->m_accounts = makeAccountGate(gateway->m_random());
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
     gateway->m_originRecord.m_trigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_listTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
@@ -270,6 +271,7 @@
     begin(gateway, "status_updates", sendStatusUpdates(gateway));
     begin(gateway, "lease", maintainLease(gateway));
     begin(gateway, "placement", runPlacement(gateway));
+    begin(gateway, "confirm_keys", keepKeysConfirmed(gateway));
     begin(gateway, "server_paths", watchServerPaths(gateway));
     begin(gateway, "watch_loop", watchLoop(gateway));
     begin(gateway, "watch_peer_traffic", watchPeerTraffic(gateway));
@@ -313,6 +315,8 @@
     gateway.m_settings.m_retryWindow = reloaded.m_retryWindow;
     gateway.m_settings.m_addressLifetime = reloaded.m_addressLifetime;
     gateway.m_settings.m_stopTimeLimit = reloaded.m_stopTimeLimit;
+    gateway.m_settings.m_keyCheckWithin = reloaded.m_keyCheckWithin;
+    gateway.m_settings.m_accountSlack = reloaded.m_accountSlack;
     logEvent("reloaded", {});
 }
 
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -29,6 +29,8 @@
     settings.m_retrySlack = readReal(map, "retry-slack", settings.m_retrySlack, 0);
     settings.m_capacity.m_cores = readReal(map, "core-share", settings.m_capacity.m_cores, 0);
     settings.m_capacity.m_linkMbps = readReal(map, "link-mbps", settings.m_capacity.m_linkMbps, 0);
+    settings.m_keyCheckWithin = readTime(map, "key-check-within-ms", settings.m_keyCheckWithin);
+    settings.m_accountSlack = readAmount(map, "account-limit-slack", settings.m_accountSlack);
     checkKeys(map);
     if (!file.m_faults.empty())
         return file.m_faults;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -86,6 +86,7 @@
     Millis m_demandReceivedAt; // when the demand and uses above were received
     std::set<std::uint64_t>
         m_unreachableServices; // by serviceHash(): it reaches no server of these
+    bool m_checksKeys = false; // keeps API keys from servers; builds before client accounts don't
     int m_forwarded = 0;       // requests of this host that are sent through it now
     Millis m_notAskedUntil;    // it took no connection: no request is sent through it until then
 };
@@ -270,7 +271,8 @@
     std::unique_ptr<WakeableTimer> m_trigger;
 };
 
-struct Relay; // see request/relay.h
+struct Relay;       // see request/relay.h
+struct AccountGate; // see process/accountgate.h
 
 /// The holder's last request for an extension of its lease, sent to all other hosts, and repeated
 /// to those that haven't granted it. Valid if m_number is above 0.
@@ -359,6 +361,7 @@
     Permits m_permits;
     InstanceId m_lastLeavingSent; // last server that leaves sent in rotation
     HostChanges m_hostChanges;
+    std::shared_ptr<AccountGate> m_accounts; // keys and limits of client accounts
     StreamOrigins m_streamOrigins;
     ServiceVersions m_serviceVersions;
     OriginRecordState m_originRecord;
@@ -459,6 +462,9 @@
 /// list when a heartbeat shows that theirs is out of date.
 asio::awaitable<void> syncServers(Gateway &gateway);
 
+/// Reads the configuration anew. Returns whether the store answered.
+asio::awaitable<bool> rereadConfiguration(Gateway &gateway);
+
 /// Resynchronizes with the store, since a watch may miss changes without an error. One host at
 /// a time, by hostRank(), reads configuration and servers anew; the heartbeat that it then sends
 /// shows the other hosts whether they are out of date.
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -7,6 +7,7 @@
 // extension requests and grants, or the release of the lease. Demand and extension requests are
 // sent again at short intervals; if a status update is lost, the server's entry in the store makes
 // up for it later.
+#include "process/accountgate.h"
 #include "process/heartbeat.h"
 #include "process/log.h"
 
@@ -174,6 +175,7 @@
         applyCrashNews(gateway, heartbeat);
         applyPermits(gateway, peer, heartbeat);
         applyOrigins(gateway, peer, heartbeat);
+        applyAccountMessages(gateway, peer, heartbeat);
         return;
     }
     const Millis time = now(gateway);
@@ -184,6 +186,7 @@
     peer.m_receivedAt = time;
     peer.m_probes = 0;
     peer.m_ready = heartbeat.ready;
+    peer.m_checksKeys = heartbeat.checks_keys;
     peer.m_fencingToken = heartbeat.fence;
     if (heartbeat.fence > 0)
         handleHolderHeartbeat(gateway, peer, heartbeat);
@@ -219,6 +222,7 @@
     heartbeat.host = gateway.m_settings.m_host.m_text;
     heartbeat.run = gateway.m_run;
     heartbeat.ready = isReady(gateway);
+    heartbeat.checks_keys = gateway.m_routes && gateway.m_routes->m_accounts.m_required;
     heartbeat.fence = holdsLease(gateway) ? gateway.m_lease.m_fencingToken : 0;
     if (heartbeat.fence > 0) {
         heartbeat.lease_revision = gateway.m_lease.m_revision;
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -20,9 +20,9 @@
 using prometheus::Registry;
 
 constexpr std::size_t latencyKindCount = 8;
-constexpr std::array<std::string_view, 8> messageKindNames
-    = {"heartbeat", "demand", "status_for_demand", "status_for_all", "crash", "permit",
-       "origin",    "lease"};
+constexpr std::array<std::string_view, 9> messageKindNames
+    = {"heartbeat", "demand", "status_for_demand", "status_for_all", "crash", "permit", "origin",
+       "lease",     "account"};
 constexpr double msPerSecond = 1000;
 
 struct MetricsRegistry
@@ -33,6 +33,8 @@
     Family<Counter> *m_orders = nullptr;
     Family<Counter> *m_platform = nullptr;
     Family<Counter> *m_pathProbes = nullptr;
+    Family<Counter> *m_quotaDecisions = nullptr;
+    Gauge *m_confirmationAge = nullptr;
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
@@ -106,6 +108,13 @@
                               .Name("apricot_path_probes_total")
                               .Help("Probes of paths to servers, by outcome")
                               .Register(registry);
+    made->m_quotaDecisions = &BuildCounter()
+                                  .Name("apricot_quota_decisions_total")
+                                  .Help("Requests of client accounts with a limit, by outcome")
+                                  .Register(registry);
+    made->m_confirmationAge
+        = makeGauge(registry, "apricot_configuration_confirmation_age_seconds",
+                    "Time since the configuration was last known to be the newest");
     made->m_retries = makeCounter(registry, "apricot_retries_total", "Attempts after the first");
     auto &peerBytes = BuildCounter()
                           .Name("apricot_peer_bytes_total")
@@ -179,6 +188,16 @@
     metrics.m_registry->m_peerBytesReceived->Increment(static_cast<double>(bytes));
 }
 
+void countQuotaDecision(Metrics &metrics, std::string_view outcome)
+{
+    metrics.m_registry->m_quotaDecisions->Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void setConfirmationAge(Metrics &metrics, Millis age)
+{
+    metrics.m_registry->m_confirmationAge->Set(static_cast<double>(age.m_count) / msPerSecond);
+}
+
 void countForward(Metrics &metrics)
 {
     metrics.m_registry->m_forwards->Increment();
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -50,7 +50,8 @@
     Crash,           // crashes of servers and quarantine
     Permit,          // requests for permits and their replies
     Origin,          // versions that began streams
-    Lease            // extension and release of the lease
+    Lease,           // extension and release of the lease
+    Account          // limits of client accounts, and confirmations of the configuration
 };
 
 /// Name of a kind in logs and metrics.
@@ -62,6 +63,13 @@
 /// Counts bytes of a message received from another host.
 void countReceivedMessage(Metrics &metrics, std::size_t bytes);
 
+/// Counts a decision on a request of a client account with a limit: "granted", "refused" or
+/// "unanswered".
+void countQuotaDecision(Metrics &metrics, std::string_view outcome);
+
+/// Sets the age of this host's last confirmation that its configuration is in force.
+void setConfirmationAge(Metrics &metrics, Millis age);
+
 /// Counts a request that is sent to another host.
 void countForward(Metrics &metrics);
 
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -1,12 +1,13 @@
 // Client of the platform's store: single calls, and the loops that keep this host's view of the
 // configuration, the backend servers and the register of hosts up to date.
-#include "process/gatewaystate.h"
+#include "process/accountgate.h"
 #include "process/log.h"
 
 namespace apricot {
 
 namespace {
 
+const char *const configurationName = "main"; // object with the newest configuration
 constexpr Millis callTimeout = {1'500};
 constexpr Millis watchLongPollTime = {20'000}; // time for which the store may hold a watch open
 constexpr Millis initialBackoff = {60};
@@ -109,7 +110,7 @@
 /// force.
 void applyRouteTable(Gateway &gateway, const StoredObject &object)
 {
-    if (object.m_deleted || object.m_name != "main"
+    if (object.m_deleted || object.m_name != configurationName
         || object.m_revision <= gateway.m_routesRevision)
         return;
     gateway.m_routesRevision = object.m_revision;
@@ -118,6 +119,7 @@
         logWarning("configuration_unreadable",
                    {{"revision", positionText(object.m_revision)},
                     {"why", std::get<Failure>(read).m_detail}});
+        gateway.m_accounts->m_unreadableRevision = object.m_revision;
         return;
     }
     auto table = std::make_shared<RouteTable>(std::get<RouteTable>(std::move(read)));
@@ -264,6 +266,8 @@
         for (const StoredObject &object : page->m_objects) {
             listed.insert(object.m_name);
             applyObject(gateway, kind, object);
+            if (kind == ObjectKind::Configuration && object.m_name == configurationName)
+                recordConfigurationRead(gateway, object.m_revision, began);
             after = object.m_name;
         }
         if (!page->m_more || page->m_objects.empty()) {
@@ -367,16 +371,6 @@
     }
 }
 
-asio::awaitable<bool> rereadConfiguration(Gateway &gateway)
-{
-    HttpRequest request = gateway.m_protocol->getObject(ObjectKind::Configuration, "main");
-    const StoreReply reply
-        = co_await requestStoreObject(gateway, "configuration", std::move(request));
-    if (reply.m_outcome == StoreOutcome::Done && reply.m_object)
-        applyRouteTable(gateway, *reply.m_object);
-    co_return reply.m_outcome == StoreOutcome::Done;
-}
-
 bool isConfigurationBehind(const Gateway &gateway, std::uint64_t version)
 {
     return !gateway.m_routes || gateway.m_routes->m_version < version;
@@ -400,6 +394,20 @@
 
 } // namespace
 
+asio::awaitable<bool> rereadConfiguration(Gateway &gateway)
+{
+    const Millis began = now(gateway);
+    HttpRequest request
+        = gateway.m_protocol->getObject(ObjectKind::Configuration, configurationName);
+    const StoreReply reply
+        = co_await requestStoreObject(gateway, "configuration", std::move(request));
+    if (reply.m_outcome == StoreOutcome::Done && reply.m_object) {
+        applyRouteTable(gateway, *reply.m_object);
+        recordConfigurationRead(gateway, reply.m_object->m_revision, began);
+    }
+    co_return reply.m_outcome == StoreOutcome::Done;
+}
+
 asio::awaitable<void> readObjects(Gateway &gateway, ObjectKind kind)
 {
     co_await listUntilSuccess(gateway, kind);
--- a/src/request/errors.cpp
+++ b/src/request/errors.cpp
@@ -51,6 +51,12 @@
          "this request crashed backend servers"},
         {ReachedElsewhere, "reached_elsewhere", 421, false, NotRun,
          "this host can't have the request of another host executed"},
+        {KeyUnknown, "key_unknown", 401, false, NotRun, "no client account has this API key"},
+        {KeyUnverifiable, "key_unverifiable", 503, true, NotRun,
+         "this host can't confirm now that the API key holds"},
+        {QuotaExceeded, "quota_exceeded", 429, true, NotRun, "the client account is at its limit"},
+        {QuotaUnavailable, "quota_unavailable", 503, true, NotRun,
+         "no host answers that keeps the limits of client accounts"},
     };
     return table;
 }
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -170,7 +170,9 @@
     metadata.m_server = id;
     metadata.m_timeAllowed = remainingTime(relay);
     if (!relay.m_metadata.m_model.m_text.empty())
-        metadata.m_priority = relay.m_route->m_priority;
+        metadata.m_priority = combinedPriority(relay.m_account, relay.m_route->m_priority);
+    if (relay.m_routes->m_accounts.m_required)
+        metadata.m_account = relay.m_account ? relay.m_account->m_name : AccountName();
     if (!relay.m_eventScanner.m_lastEventId.empty())
         metadata.m_resumeAfter = relay.m_eventScanner.m_lastEventId;
     HttpRequest request;
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -45,8 +45,8 @@
 /// A host that can't take requests now tells another host so in a way that has it ask a third one.
 Failure forOtherHost(const Relay &relay, Failure failure)
 {
-    const bool isOfThisHost
-        = failure.m_kind == ErrorKind::Stopping || failure.m_kind == ErrorKind::NotReady;
+    const bool isOfThisHost = failure.m_kind == ErrorKind::Stopping
+        || failure.m_kind == ErrorKind::NotReady || failure.m_kind == ErrorKind::KeyUnverifiable;
     if (isOfThisHost && !relay.m_forwardedBy.m_text.empty())
         failure.m_kind = ErrorKind::ReachedElsewhere;
     return failure;
@@ -110,6 +110,7 @@
     failure = forOtherHost(relay, std::move(failure));
     failure = withoutFalseNotRun(relay, std::move(failure));
     Gateway &gateway = *relay.m_gateway;
+    relay.m_surelyNotRun = failure.m_run == RunState::NotRun && !relay.m_headSent;
     countAnswer(gateway.m_metrics, failure.m_kind);
     if (callerDisconnected(relay)) {
         logCall(relay, "caller_gone", failure, 0);
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -102,6 +102,8 @@
         = matchRoute(*relay.m_routes, fieldOf(request.m_fields, "Host"), request.m_target);
     if (!relay.m_route)
         co_return co_await refuse(relay, makeFailure(ErrorKind::UnknownRoute, request.m_target));
+    if (const auto refusal = findAccount(relay))
+        co_return co_await refuse(relay, *refusal);
     relay.m_fingerprint = requestFingerprint(*relay.m_route, request, relay.m_metadata.m_caller);
     relay.m_causes = causesOf(relay.m_metadata.m_sharedParts, relay.m_fingerprint);
     if (const auto refusal = quarantineRefusal(gateway, relay.m_causes))
@@ -112,6 +114,8 @@
     removeHopByHopFields(relay.m_fields);
     if (const auto refusal = co_await findOriginVersion(relay))
         co_return co_await refuse(relay, *refusal);
+    if (const auto refusal = co_await chargeAccount(relay))
+        co_return co_await refuse(relay, *refusal);
     co_await relayToServers(relay);
 }
 
@@ -153,6 +157,7 @@
     };
     co_await relayOne(relay);
     exchange.m_onCallerDisconnect = nullptr;
+    returnUnusedCharge(relay);
     gateway.m_relays.erase(&relay);
 }
 
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -29,9 +29,12 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route *m_route = nullptr;
     RequestMetadata m_metadata;
-    bool m_counted = false;           // see countRequest()
-    std::uint64_t m_fingerprint = 0;  // see requestFingerprint(); valid if m_route
-    std::vector<CrashCause> m_causes; // that it may crash a server by
+    const Account *m_account = nullptr; // of its caller, in m_routes; null: none
+    std::optional<double> m_charged;    // cost counted against the account's limit; empty: none
+    bool m_surelyNotRun = false;        // at its end: no server executed it, or ever will
+    bool m_counted = false;             // see countRequest()
+    std::uint64_t m_fingerprint = 0;    // see requestFingerprint(); valid if m_route
+    std::vector<CrashCause> m_causes;   // that it may crash a server by
     ServiceName m_service;
     std::vector<HttpField> m_fields; // header fields to forward, without hop-by-hop fields
     Millis m_arrived;
@@ -113,6 +116,18 @@
 /// begun.
 asio::awaitable<void> refuse(Relay &relay, Failure failure);
 
+// --- accountcheck.cpp: client accounts ---
+
+/// Finds the account of the request by its API key. Returns a failure if the key isn't accepted.
+std::optional<Failure> findAccount(Relay &relay);
+
+/// Counts the request against the limit of its account. Returns a failure if the limit is reached,
+/// or if no host answers that keeps it. One that another host sent here was counted there.
+asio::awaitable<std::optional<Failure>> chargeAccount(Relay &relay);
+
+/// To be called at the end of the request: gives back what was counted if it has not run.
+void returnUnusedCharge(const Relay &relay);
+
 // --- modelwait.cpp: selection of a server or another host ---
 
 /// Where a request is sent next.
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -48,7 +48,9 @@
 
 bool mayAsk(const Relay &relay, const HostName &host, const Peer &peer)
 {
-    return peer.m_ready && now(*relay.m_gateway) >= peer.m_notAskedUntil
+    // A host of an older build would pass the API key on to a server.
+    const bool maySeeKey = peer.m_checksKeys || !relay.m_routes->m_accounts.m_required;
+    return peer.m_ready && maySeeKey && now(*relay.m_gateway) >= peer.m_notAskedUntil
         && !relay.m_hostsAsked.contains(host)
         && !peer.m_unreachableServices.contains(serviceHash(relay.m_service));
 }
@@ -227,6 +229,7 @@
         co_await refuse(relay, makeFailure(ErrorKind::BackendRefused, "refused by " + host));
         co_return SendResult{};
     }
+    relay.m_surelyNotRun = statesNotRun;
     removeHopByHopFields(response.m_head.m_fields);
     observe(relay.m_gateway->m_metrics, LatencyKind::Whole,
             now(*relay.m_gateway) - relay.m_arrived);
--- a/src/version/yamlreader.cpp
+++ b/src/version/yamlreader.cpp
@@ -163,6 +163,20 @@
     return fallback;
 }
 
+double readAmount(YamlMap &map, const std::string &key, double fallback)
+{
+    const auto node = fetchNode(map, key, false);
+    if (!node)
+        return fallback;
+    const auto value = scalar<double>(map, key, *node, "a number");
+    if (!value)
+        return fallback;
+    if (std::isfinite(*value) && *value >= 0)
+        return *value;
+    addFault(map, key, "must be 0 or more");
+    return fallback;
+}
+
 bool readBool(YamlMap &map, const std::string &key, bool fallback)
 {
     const auto node = fetchNode(map, key, false);
--- a/src/version/yamlreader.h
+++ b/src/version/yamlreader.h
@@ -54,6 +54,9 @@
 
 /// A finite number greater than `above`.
 double readReal(YamlMap &map, const std::string &key, double fallback, double above);
+
+/// A finite number of 0 or more.
+double readAmount(YamlMap &map, const std::string &key, double fallback);
 bool readBool(YamlMap &map, const std::string &key, bool fallback);
 Endpoint readEndpoint(YamlMap &map, const std::string &key, bool required);
 std::vector<std::int64_t> readInts(YamlMap &map, const std::string &key, IntBounds bounds);
