One bound on the memory and the connections of all clients

Cause: each request was read whole into memory, bounded by itself only, and held up to three times while it was sent on; connections weren't bounded. Ruled out: bodies announced over the limit, which were refused before.

Change: src/admission decides, after each read, whether a request may hold what it has received, and which stalled one is closed if memory is short; connections are bounded by the descriptors. connection/httpsession.cpp reads requests piece by piece; bodies are sent on without copies. New settings memory-mb and max-descriptors, from the platform's limits.

AdmissionDecisionsTest: decisions without a network.

--- a/src/apricot.h
+++ b/src/apricot.h
@@ -192,6 +192,7 @@
     KeyUnverifiable,
     QuotaExceeded,
     QuotaUnavailable,
+    Overloaded,
 };
 
 /// Whether a backend server ran the request, as far as this host knows. NotRun is a guarantee: it
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -1,40 +1,20 @@
 // HTTP/1.1 server and client on Boost.Beast. Each accepted connection is served by one coroutine,
 // on the I/O thread that the listener assigned to it.
-#include "connection/http.h"
+#include "connection/httpsession.h"
 
-#include <boost/asio.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/url.hpp>
 
 namespace apricot {
 
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t readChunkSize = 16UL * 1024;         // bytes
 constexpr std::size_t responseLimit = 8UL * 1024 * 1024;   // bytes of a body, in fetchHttp()
 constexpr std::size_t discardLimit = 64UL * 1024 * 1024;   // bytes; see discardRestOfRequest()
 constexpr std::size_t earlyResponseBodySize = 32UL * 1024; // bytes; see writeRequest()
 constexpr std::uint32_t responseHeadLimit = 16 * 1024;     // bytes of a head, and of trailers
-/// Bytes read ahead on a connection. Chunk extensions have no limit of their own.
-constexpr std::size_t connectionBufferLimit = 64UL * 1024;
-constexpr int maxInformationalHeads = 8;   // before the head of one response
-constexpr Millis discardTimeout = {2'000}; // see discardRestOfRequest()
-constexpr auto useAwaitable = asio::as_tuple(asio::use_awaitable);
-
-/// A caller's connection.
-struct HttpSession
-{
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    std::shared_ptr<const HttpServerOptions> m_options;
-    bool m_keepAlive = true;
-    unsigned m_version = 11;           // HTTP version of the present request, 10 or 11
-    bool m_endsWithConnection = false; // only the end of the connection completes the response
-};
+constexpr int maxInformationalHeads = 8;                   // before the head of one response
+constexpr Millis discardTimeout = {2'000};                 // see discardRestOfRequest()
 
 /// A connection to a server. The parser is replaced for each response.
 struct HttpConnection
@@ -102,6 +82,9 @@
         return makeFailure(ErrorKind::TooLarge, "the body is over the size limit");
     if (error == http::error::header_limit)
         return makeFailure(ErrorKind::TooLarge, "the head is over the size limit");
+    if (error == notAdmitted())
+        return makeFailure(ErrorKind::Overloaded,
+                           "the memory for requests is needed for other clients");
     return makeFailure(ErrorKind::BadRequest, error.message());
 }
 
@@ -130,18 +113,6 @@
     }
 }
 
-/// Waits for the first bytes of a request; false if none arrived within the idle timeout.
-asio::awaitable<bool> waitForBytes(HttpSession &session)
-{
-    if (session.m_buffer.size() > 0)
-        co_return true;
-    session.m_stream.expires_after(toChrono(session.m_options->m_idleTimeout));
-    const auto [error, count] = co_await session.m_stream.async_read_some(
-        session.m_buffer.prepare(readChunkSize), useAwaitable);
-    session.m_buffer.commit(count);
-    co_return !error;
-}
-
 /// Counts a request in its listener's m_openRequests, as long as this object lives.
 struct OpenRequest
 {
@@ -160,7 +131,8 @@
 asio::awaitable<bool> serveRequest(std::shared_ptr<HttpSession> session, const HttpHandler &handler,
                                    TcpListener &listener)
 {
-    http::request_parser<http::string_body> parser;
+    RequestReader reader;
+    auto &parser = reader.m_parser;
     parser.body_limit(session->m_options->m_bodyLimit);
     parser.header_limit(static_cast<std::uint32_t>(session->m_options->m_headLimit));
     session->m_buffer.max_size(session->m_options->m_headLimit + connectionBufferLimit);
@@ -168,14 +140,19 @@
         co_return false;
     const OpenRequest open(listener);
     session->m_stream.expires_after(toChrono(session->m_options->m_headTimeout));
-    const auto [error, bytes]
-        = co_await http::async_read(session->m_stream, session->m_buffer, parser, useAwaitable);
+    const auto error = co_await readRequest(*session, reader);
     session->m_stream.expires_never();
     auto exchange = std::make_shared<HttpExchange>();
     exchange->m_session = session.get();
     if (error) {
         session->m_keepAlive = false;
-        if (isHttpError(error) && session->m_options->m_makeErrorResponse) {
+        reader.m_body = {};
+        if (error == notAdmitted() && session->m_options->m_makeErrorResponse) {
+            // The rest isn't read: the client may send it for as long as it likes.
+            const HttpResponse refusal
+                = session->m_options->m_makeErrorResponse(requestFailure(error));
+            co_await sendResponse(*exchange, refusal);
+        } else if (isHttpError(error) && session->m_options->m_makeErrorResponse) {
             const HttpResponse refusal
                 = session->m_options->m_makeErrorResponse(requestFailure(error));
             co_await sendResponse(*exchange, refusal);
@@ -189,12 +166,14 @@
     exchange->m_request.m_method = std::string(message.method_string());
     exchange->m_request.m_target = std::string(message.target());
     exchange->m_request.m_fields = getFields(message);
-    exchange->m_request.m_body = std::move(message.body());
+    exchange->m_request.m_body = std::move(reader.m_body);
+    recordHandling(*session, reader, exchange->m_request.m_body.capacity());
     watchCallerDisconnect(session, exchange);
     co_await handler(*exchange);
     exchange->m_onCallerDisconnect = nullptr;
     if (!exchange->m_responseComplete)
         abortResponse(*exchange);
+    recordIdle(*session);
     co_return exchange->m_responseComplete && session->m_keepAlive;
 }
 
@@ -204,7 +183,8 @@
 {
     auto session = std::make_shared<HttpSession>(
         HttpSession{beast::tcp_stream(std::move(socket)), {}, std::move(options), true});
-    while (co_await serveRequest(session, handler, *listener)) {
+    const AdmittedSession admitted(*session);
+    while (admitted.m_admitted && co_await serveRequest(session, handler, *listener)) {
         if (listener->m_stopped)
             break;
     }
@@ -452,7 +432,7 @@
 /// it. For bodies of earlyResponseBodySize or more, the rest of the body is then not sent, and the
 /// connection can't be reused.
 asio::awaitable<boost::system::error_code>
-writeRequest(HttpConnection &connection, const http::request<http::string_body> &message)
+writeRequest(HttpConnection &connection, const http::request<http::span_body<const char>> &message)
 {
     using namespace asio::experimental::awaitable_operators;
     if (message.body().size() < earlyResponseBodySize) {
@@ -475,14 +455,22 @@
                                                     const Endpoint &endpoint,
                                                     const HttpRequest &request, Millis timeout)
 {
-    http::request<http::string_body> message;
+    return sendRequest(connection, endpoint, request, request.m_body, timeout);
+}
+
+asio::awaitable<std::optional<Failure>> sendRequest(HttpConnection &connection,
+                                                    const Endpoint &endpoint,
+                                                    const HttpRequest &request,
+                                                    std::string_view body, Millis timeout)
+{
+    http::request<http::span_body<const char>> message;
     message.version(11);
     message.method_string(request.m_method);
     message.target(request.m_target);
     if (fieldOf(request.m_fields, "Host").empty())
         message.set(http::field::host, toText(endpoint));
     setFields(message, request.m_fields);
-    message.body() = request.m_body;
+    message.body() = beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
     connection.m_responseRead = false;
     connection.m_headRequest = request.m_method == "HEAD";
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -5,6 +5,7 @@
 // and Unknown after it.
 #pragma once
 
+#include "admission/admission.h"
 #include "apricot.h"
 #include "connection/tcp.h"
 
@@ -111,6 +112,15 @@
 
 using HttpHandler = std::function<asio::awaitable<void>(HttpExchange &)>;
 
+/// Limits the memory and the number of the connections of one or more listeners, all on one I/O
+/// thread.
+struct AdmissionControl
+{
+    AdmissionTable m_table;
+    std::map<ConnectionId, HttpSession *> m_sessions; // open ones
+    std::uint64_t m_lastConnection = 0;
+};
+
 /// Limits and timeouts for the connections of a listener.
 struct HttpServerOptions
 {
@@ -121,6 +131,8 @@
     Millis m_writeTimeout = {30'000};   // ms for one write, however slow the caller reads
     std::function<HttpResponse(const Failure &)>
         m_makeErrorResponse; // for invalid requests; empty: close without a response
+    /// Bounds what clients may hold together; null: each is bounded by itself only.
+    std::shared_ptr<AdmissionControl> m_admission;
 };
 
 /// Listens and serves each request with the handler. Connections are assigned to the io_contexts
@@ -165,6 +177,13 @@
                                                     const Endpoint &endpoint,
                                                     const HttpRequest &request, Millis timeout);
 
+/// As above, with the body `body` in place of the request's own, which needn't be copied then. It
+/// must stay valid until the function has returned.
+asio::awaitable<std::optional<Failure>> sendRequest(HttpConnection &connection,
+                                                    const Endpoint &endpoint,
+                                                    const HttpRequest &request,
+                                                    std::string_view body, Millis timeout);
+
 /// Reads the head of the response. Informational heads (1xx) before it are skipped, a few at most.
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -716,6 +716,7 @@
     Endpoint m_peer;                       // UDP: heartbeats of other hosts; TCP: their requests
     Endpoint m_platform;                   // address of the platform's store
     HostCapacity m_capacity;               // of this host's machine
+    MachineLimits m_machine;               // see admission/admission.h
     Millis m_stopTimeLimit = {8'000};      // ms, upper limit of a planned stop
     Millis m_leaseHandoverDelay = {3'000}; // ms, minimum between orders of two successive holders
     double m_retryRatio = 0.1;             // retries allowed for each request
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -65,10 +65,23 @@
     HttpResponse response;
     response.m_head.m_status = errorResponseFor(failure.m_kind).m_status;
     response.m_body = failure.m_detail + "\n";
+    if (errorResponseFor(failure.m_kind).m_sendsRetryAfter)
+        addField(response.m_head.m_fields, "Retry-After", "1");
     logWarning("malformed_request", {{"why", failure.m_detail}});
     return response;
 }
 
+/// Bytes of answers that may be held at the same time: the usual limit, or less on a small machine.
+std::size_t answerBytesOf(const MachineLimits &machine, const BodyBudget &usual)
+{
+    constexpr double bytesPerMb = 1'000'000;
+    constexpr double answerShare = 0.2; // of the machine's memory
+    if (machine.m_memoryMb <= 0)
+        return usual.m_limit;
+    return std::min(usual.m_limit,
+                    static_cast<std::size_t>(machine.m_memoryMb * bytesPerMb * answerShare));
+}
+
 using Handler = asio::awaitable<void> (*)(Gateway &, HttpExchange &);
 
 std::optional<Failure> listenOn(Gateway &gateway, const Endpoint &endpoint, Handler handler,
@@ -225,6 +238,11 @@
     gateway->m_hosts.m_maxIdleTime = serverConnectionIdleTime;
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
+    gateway->m_hostOptions = std::make_shared<HttpServerOptions>(*gateway->m_callerOptions);
+    gateway->m_admission = std::make_shared<AdmissionControl>();
+    gateway->m_admission->m_table.m_limits = admissionLimitsOf(settings.m_machine);
+    gateway->m_callerOptions->m_admission = gateway->m_admission;
+    gateway->m_answerBytes.m_limit = answerBytesOf(settings.m_machine, gateway->m_answerBytes);
     gateway->m_accounts = makeAccountGate(gateway->m_random());
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
     gateway->m_originRecord.m_trigger = std::make_unique<WakeableTimer>(gateway->m_io);
@@ -241,18 +259,21 @@
     const GatewaySettings &settings = gateway.m_settings;
     auto plain = std::make_shared<HttpServerOptions>();
     plain->m_makeErrorResponse = refuseMalformed;
+    plain->m_bodyLimit = plain->m_headLimit; // none of their requests needs a body
+    auto directory = std::make_shared<HttpServerOptions>(*plain);
+    directory->m_admission = gateway.m_admission;
     auto failure = listenOn(gateway, settings.m_caller, relayCall, gateway.m_callerOptions,
                             gateway.m_callers);
     if (!failure)
-        failure
-            = listenOn(gateway, settings.m_directory, answerDirectory, plain, gateway.m_directory);
+        failure = listenOn(gateway, settings.m_directory, answerDirectory, directory,
+                           gateway.m_directory);
     if (!failure)
         failure = listenOn(gateway, settings.m_ready, answerReady, plain, gateway.m_ready);
     if (!failure && settings.m_metrics.m_port != 0)
         failure
             = listenOn(gateway, settings.m_metrics, answerMetrics, plain, gateway.m_metricsPort);
     if (!failure)
-        failure = listenOn(gateway, settings.m_peer, relayForwardedCall, gateway.m_callerOptions,
+        failure = listenOn(gateway, settings.m_peer, relayForwardedCall, gateway.m_hostOptions,
                            gateway.m_hostPort);
     if (!failure)
         failure = bindUdp(gateway);
@@ -320,6 +341,20 @@
     logEvent("reloaded", {});
 }
 
+void reportAdmission(Gateway &gateway)
+{
+    const AdmissionTable &table = gateway.m_admission->m_table;
+    setAdmission(gateway.m_metrics, table);
+    const std::uint64_t count = table.m_refused + table.m_closed;
+    if (count == std::exchange(gateway.m_admissionLogged, count))
+        return;
+    logWarning("clients_closed",
+               {{"refused", std::to_string(table.m_refused)},
+                {"closed", std::to_string(table.m_closed)},
+                {"bytes", std::to_string(table.m_bytes)},
+                {"connections", std::to_string(table.m_connections.size())}});
+}
+
 Millis now(const Gateway &gateway)
 {
     return now(gateway.m_clock);
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -31,6 +31,8 @@
     settings.m_capacity.m_linkMbps = readReal(map, "link-mbps", settings.m_capacity.m_linkMbps, 0);
     settings.m_keyCheckWithin = readTime(map, "key-check-within-ms", settings.m_keyCheckWithin);
     settings.m_accountSlack = readAmount(map, "account-limit-slack", settings.m_accountSlack);
+    settings.m_machine.m_memoryMb = readReal(map, "memory-mb", 0, 0);
+    settings.m_machine.m_descriptors = readReal(map, "max-descriptors", 0, 0);
     checkKeys(map);
     if (!file.m_faults.empty())
         return file.m_faults;
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -313,8 +313,11 @@
     LoopLoad m_loopLoad;
     PeerTraffic m_peerTraffic;
 
-    std::shared_ptr<const RouteTable> m_routes; // null until the first configuration is known
+    std::shared_ptr<const RouteTable> m_routes;    // null until the first configuration is known
+    std::shared_ptr<AdmissionControl> m_admission; // of callers, also those asking for addresses
+    std::uint64_t m_admissionLogged = 0;           // clients refused or closed, as last logged
     std::shared_ptr<HttpServerOptions> m_callerOptions;
+    std::shared_ptr<HttpServerOptions> m_hostOptions; // for requests that other hosts send
     ServerTable m_serverTable;
     bool m_serverTableLoaded = false; // the server list was read completely at least once
     std::unique_ptr<WakeableTimer> m_listTrigger; // wakes syncServers()
@@ -392,6 +395,10 @@
 /// lease handover delay take effect only at the next start.
 void reloadSettings(Gateway &gateway);
 
+/// Updates the metrics of admission control, and logs `clients_closed` if clients were refused or
+/// closed since the last time.
+void reportAdmission(Gateway &gateway);
+
 Millis now(const Gateway &gateway);
 /// Whether this host can serve callers: it has a configuration and the server list, and isn't
 /// stopping.
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -388,6 +388,7 @@
         sendPeriodicHeartbeat(gateway, nextPeer);
         dropExpiredMissing(gateway.m_serverTable, now(gateway));
         updateStatementCounts(gateway);
+        reportAdmission(gateway);
         logHostChanges(gateway);
         std::erase_if(gateway.m_modelDemands,
                       [&](const auto &demand) { return isIdle(demand.second, now(gateway)); });
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -35,6 +35,10 @@
     Family<Counter> *m_pathProbes = nullptr;
     Family<Counter> *m_quotaDecisions = nullptr;
     Gauge *m_confirmationAge = nullptr;
+    Gauge *m_clientBytes = nullptr;
+    Gauge *m_clientConnections = nullptr;
+    Gauge *m_clientsRefused = nullptr;
+    Gauge *m_clientsClosed = nullptr;
     Counter *m_retries = nullptr;
     Counter *m_forwards = nullptr;
     Counter *m_idle = nullptr;
@@ -115,6 +119,14 @@
     made->m_confirmationAge
         = makeGauge(registry, "apricot_configuration_confirmation_age_seconds",
                     "Time since the configuration was last known to be the newest");
+    made->m_clientBytes
+        = makeGauge(registry, "apricot_client_bytes", "Memory that requests of clients hold");
+    made->m_clientConnections
+        = makeGauge(registry, "apricot_client_connections", "Connections of clients");
+    made->m_clientsRefused = makeGauge(registry, "apricot_clients_refused",
+                                       "Connections and requests not admitted since the start");
+    made->m_clientsClosed = makeGauge(registry, "apricot_clients_closed",
+                                      "Connections closed for others since the start");
     made->m_retries = makeCounter(registry, "apricot_retries_total", "Attempts after the first");
     auto &peerBytes = BuildCounter()
                           .Name("apricot_peer_bytes_total")
@@ -193,6 +205,15 @@
     metrics.m_registry->m_quotaDecisions->Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void setAdmission(Metrics &metrics, const AdmissionTable &table)
+{
+    MetricsRegistry &registry = *metrics.m_registry;
+    registry.m_clientBytes->Set(static_cast<double>(table.m_bytes));
+    registry.m_clientConnections->Set(static_cast<double>(table.m_connections.size()));
+    registry.m_clientsRefused->Set(static_cast<double>(table.m_refused));
+    registry.m_clientsClosed->Set(static_cast<double>(table.m_closed));
+}
+
 void setConfirmationAge(Metrics &metrics, Millis age)
 {
     metrics.m_registry->m_confirmationAge->Set(static_cast<double>(age.m_count) / msPerSecond);
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -1,6 +1,7 @@
 // Counters and latency histograms in the Prometheus format, through prometheus-cpp.
 #pragma once
 
+#include "admission/admission.h"
 #include "apricot.h"
 
 #include <memory>
@@ -67,6 +68,9 @@
 /// "unanswered".
 void countQuotaDecision(Metrics &metrics, std::string_view outcome);
 
+/// Sets what clients hold of this process, and how many were refused or closed so far.
+void setAdmission(Metrics &metrics, const AdmissionTable &table);
+
 /// Sets the age of this host's last confirmation that its configuration is in force.
 void setConfirmationAge(Metrics &metrics, Millis age);
 
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -126,10 +126,12 @@
     if (gateway.m_routes && table->m_version <= gateway.m_routes->m_version)
         return;
     sortRoutes(*table);
-    gateway.m_callerOptions->m_bodyLimit = table->m_limits.m_bodyBytes;
-    gateway.m_callerOptions->m_headLimit = table->m_limits.m_headBytes;
-    gateway.m_callerOptions->m_headTimeout = table->m_limits.m_headTimeout;
-    gateway.m_callerOptions->m_idleTimeout = table->m_limits.m_idleTimeout;
+    for (const auto &options : {gateway.m_callerOptions, gateway.m_hostOptions}) {
+        options->m_bodyLimit = table->m_limits.m_bodyBytes;
+        options->m_headLimit = table->m_limits.m_headBytes;
+        options->m_headTimeout = table->m_limits.m_headTimeout;
+        options->m_idleTimeout = table->m_limits.m_idleTimeout;
+    }
     logEvent("configuration",
              {{"version", std::to_string(table->m_version)},
               {"revision", positionText(object.m_revision)},
--- a/src/request/errors.cpp
+++ b/src/request/errors.cpp
@@ -57,6 +57,8 @@
         {QuotaExceeded, "quota_exceeded", 429, true, NotRun, "the client account is at its limit"},
         {QuotaUnavailable, "quota_unavailable", 503, true, NotRun,
          "no host answers that keeps the limits of client accounts"},
+        {Overloaded, "overloaded", 503, true, NotRun,
+         "this host has no memory left for the request"},
     };
     return table;
 }
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -163,7 +163,7 @@
     return first ? std::to_string((now(*relay.m_gateway) - *first).m_count) : std::string();
 }
 
-/// Makes the request that is sent to the server.
+/// Makes the request that is sent to the server, without its body.
 HttpRequest requestFor(const Relay &relay, const InstanceId &id)
 {
     ForwardMetadata metadata;
@@ -178,7 +178,6 @@
     HttpRequest request;
     request.m_method = relay.m_exchange->m_request.m_method;
     request.m_target = relay.m_exchange->m_request.m_target;
-    request.m_body = relay.m_exchange->m_request.m_body;
     request.m_fields = relay.m_fields;
     relay.m_gateway->m_protocol->writeForward(request.m_fields, metadata);
     return request;
@@ -319,7 +318,8 @@
     relay.m_sendDelay = now(gateway) - relay.m_chosenAt;
     SendResult result;
     const auto sendFailure
-        = co_await sendRequest(*connection, source.m_endpoint, request, remainingTime(relay));
+        = co_await sendRequest(*connection, source.m_endpoint, request,
+                               relay.m_exchange->m_request.m_body, remainingTime(relay));
     if (sendFailure)
         result = recordSendFailure(relay, id, *sendFailure);
     else
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -85,7 +85,9 @@
         metadata.m_resumes = relay.m_metadata.m_id;
     if (!relay.m_eventScanner.m_lastEventId.empty())
         metadata.m_resumeAfter = relay.m_eventScanner.m_lastEventId;
-    HttpRequest request = relay.m_exchange->m_request;
+    HttpRequest request;
+    request.m_method = relay.m_exchange->m_request.m_method;
+    request.m_target = relay.m_exchange->m_request.m_target;
     request.m_fields = relay.m_fields;
     gateway.m_protocol->writeHostForward(request.m_fields, metadata);
     addField(request.m_fields, forwardField,
--- a/tests/unit/basics.cpp
+++ b/tests/unit/basics.cpp
@@ -26,7 +26,7 @@
     /// Guards against a kind that was added without its row: the table is indexed by ErrorKind.
     void errorTableListsEveryKindInOrder()
     {
-        const auto last = static_cast<std::size_t>(ErrorKind::QuotaUnavailable);
+        const auto last = static_cast<std::size_t>(ErrorKind::Overloaded);
         CPPUNIT_ASSERT_EQUAL(last + 1, errorTable().size());
         for (std::size_t i = 0; i <= last; ++i)
             CPPUNIT_ASSERT_EQUAL(i, static_cast<std::size_t>(errorTable()[i].m_kind));
