--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -17,9 +17,17 @@
 /// Added to the time without progress, so that among active requests the largest is ended first.
 constexpr Millis progressGrace = {100};
 
+bool isLarge(std::size_t bytes)
+{
+    return bytes > smallRequestBytes;
+}
+
 void setBytes(AdmissionTable &table, AdmittedConnection &connection, std::size_t bytes)
 {
-    table.m_bytes = table.m_bytes - connection.m_bytes + bytes;
+    const std::size_t before = connection.m_bytes;
+    table.m_bytes = table.m_bytes - before + bytes;
+    table.m_largeBytes
+        = table.m_largeBytes - (isLarge(before) ? before : 0) + (isLarge(bytes) ? bytes : 0);
     connection.m_bytes = bytes;
 }
 
@@ -27,6 +35,7 @@
 {
     setBytes(table, connection, 0);
     connection.m_stage = ConnectionStage::Closing;
+    table.m_open -= 1;
 }
 
 /// How much a request that is being read keeps from others, and for how long.
@@ -36,23 +45,50 @@
     return static_cast<double>(connection.m_bytes) * static_cast<double>(idle.m_count);
 }
 
-/// The request being read that has the highest weight; null if none is being read.
-std::pair<const ConnectionId, AdmittedConnection> *heaviest(AdmissionTable &table, Millis time)
+using Entry = std::pair<const ConnectionId, AdmittedConnection>;
+
+/// Bytes that have to become free for a request that holds so many; 0: none.
+std::size_t lackingBytes(const AdmissionTable &table, std::size_t requestBytes)
+{
+    const AdmissionLimits &limits = table.m_limits;
+    const auto beyond = [](std::size_t held, std::size_t limit) {
+        return held > limit ? held - limit : std::size_t{0};
+    };
+    const std::size_t forAll = beyond(table.m_bytes, limits.m_bytes);
+    if (!isLarge(requestBytes))
+        return forAll;
+    return std::max(forAll, beyond(table.m_largeBytes, limits.m_bytes - limits.m_reservedBytes));
+}
+
+/// The requests to be closed so that so many bytes become free for `requester`, the heaviest first;
+/// empty: those that are heavier than it don't suffice.
+std::vector<Entry *> chooseVictims(AdmissionTable &table, const AdmittedConnection &requester,
+                                   std::size_t lacking, Millis time)
 {
-    std::pair<const ConnectionId, AdmittedConnection> *found = nullptr;
+    std::vector<Entry *> victims;
+    const double ownWeight = weightOf(requester, time);
     for (auto &entry : table.m_connections) {
-        if (entry.second.m_stage != ConnectionStage::Reading)
-            continue;
-        if (!found || weightOf(entry.second, time) > weightOf(found->second, time))
-            found = &entry;
+        const AdmittedConnection &other = entry.second;
+        const bool maySuffer = other.m_stage == ConnectionStage::Reading
+            && (!isLarge(requester.m_bytes) || isLarge(other.m_bytes));
+        if (maySuffer && weightOf(other, time) > ownWeight)
+            victims.push_back(&entry);
     }
-    return found;
+    std::sort(victims.begin(), victims.end(), [&](const Entry *a, const Entry *b) {
+        return weightOf(a->second, time) > weightOf(b->second, time);
+    });
+    std::size_t freed = 0;
+    std::size_t count = 0;
+    while (count < victims.size() && freed < lacking)
+        freed += victims[count++]->second.m_bytes;
+    victims.resize(freed < lacking ? 0 : count);
+    return victims;
 }
 
 /// The connection without a complete request that has been without progress for the longest time.
-std::pair<const ConnectionId, AdmittedConnection> *longestInactive(AdmissionTable &table)
+Entry *longestInactive(AdmissionTable &table)
 {
-    std::pair<const ConnectionId, AdmittedConnection> *found = nullptr;
+    Entry *found = nullptr;
     for (auto &entry : table.m_connections) {
         const ConnectionStage stage = entry.second.m_stage;
         if (stage != ConnectionStage::Idle && stage != ConnectionStage::Reading)
@@ -63,21 +99,6 @@
     return found;
 }
 
-std::size_t openConnections(const AdmissionTable &table)
-{
-    const auto open = std::count_if(
-        table.m_connections.begin(), table.m_connections.end(),
-        [](const auto &entry) { return entry.second.m_stage != ConnectionStage::Closing; });
-    return static_cast<std::size_t>(open);
-}
-
-/// Bytes that requests of that size may use together.
-std::size_t bytesFor(const AdmissionLimits &limits, std::size_t requestBytes)
-{
-    return requestBytes <= smallRequestBytes ? limits.m_bytes
-                                             : limits.m_bytes - limits.m_reservedBytes;
-}
-
 } // namespace
 
 AdmissionLimits admissionLimitsOf(const MachineLimits &machine)
@@ -99,7 +120,7 @@
 {
     AdmissionDecision decision;
     const std::size_t limit = table.m_limits.m_connections;
-    if (limit > 0 && table.m_connections.size() >= limit && openConnections(table) >= limit) {
+    if (limit > 0 && table.m_open >= limit) {
         auto *inactive = longestInactive(table);
         if (!inactive) {
             table.m_refused += 1;
@@ -111,6 +132,7 @@
         table.m_closed += 1;
     }
     table.m_connections[id].m_progressAt = time;
+    table.m_open += 1;
     return decision;
 }
 
@@ -126,14 +148,17 @@
     connection.m_stage = ConnectionStage::Reading;
     connection.m_progressAt = time;
     setBytes(table, connection, bytes);
-    while (table.m_bytes > bytesFor(table.m_limits, bytes)) {
-        auto *victim = heaviest(table, time); // this request at least is being read
-        if (victim->first == id) {
-            table.m_refused += 1;
-            markClosing(table, connection);
-            decision.m_admitted = false;
-            return decision;
-        }
+    const std::size_t lacking = lackingBytes(table, bytes);
+    if (lacking == 0)
+        return decision;
+    const std::vector<Entry *> victims = chooseVictims(table, connection, lacking, time);
+    if (victims.empty()) {
+        table.m_refused += 1;
+        markClosing(table, connection);
+        decision.m_admitted = false;
+        return decision;
+    }
+    for (Entry *victim : victims) {
         decision.m_close.push_back(victim->first);
         markClosing(table, victim->second);
         table.m_closed += 1;
@@ -157,7 +182,8 @@
     const auto found = table.m_connections.find(id);
     if (found == table.m_connections.end())
         return;
-    setBytes(table, found->second, 0);
+    if (found->second.m_stage != ConnectionStage::Closing)
+        markClosing(table, found->second);
     table.m_connections.erase(found);
 }
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -61,12 +61,15 @@
     Millis m_progressAt;     // when it last received bytes or changed its stage
 };
 
-/// Invariant: m_bytes is the sum of the bytes of all connections.
+/// Invariants: m_bytes is the sum of the bytes of all connections, m_largeBytes of those that hold
+/// more than smallRequestBytes; m_open counts those that aren't closing.
 struct AdmissionTable
 {
     AdmissionLimits m_limits;
     std::map<ConnectionId, AdmittedConnection> m_connections;
     std::size_t m_bytes = 0;
+    std::size_t m_largeBytes = 0;
+    std::size_t m_open = 0;
     std::uint64_t m_refused = 0; // connections and requests that weren't admitted
     std::uint64_t m_closed = 0;  // others that were closed for them
 };
@@ -81,8 +84,9 @@
 /// time, and has no complete request, is closed for it.
 AdmissionDecision admitConnection(AdmissionTable &table, ConnectionId id, Millis time);
 
-/// Records that the connection received bytes and now holds so many. Names the requests to be
-/// closed if the memory is short; not admitted: this one.
+/// Records that the connection received bytes and now holds so many. If the memory is short, names
+/// requests that have kept more from others than this one, as many as suffice, to be closed; if
+/// they don't suffice, this one isn't admitted. For a large request only large ones are closed.
 AdmissionDecision growTo(AdmissionTable &table, ConnectionId id, std::size_t bytes, Millis time);
 
 /// Records a new stage, and what the connection holds in it, which may only be less than before or
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t discardLimit = 64UL * 1024 * 1024;   // bytes; see discardRestOfRequest()
 constexpr std::size_t earlyResponseBodySize = 32UL * 1024; // bytes; see writeRequest()
 constexpr std::uint32_t responseHeadLimit = 16 * 1024;     // bytes of a head, and of trailers
+constexpr std::size_t discardChunkSize = 4UL * 1024;       // bytes
 constexpr int maxInformationalHeads = 8;                   // before the head of one response
 constexpr Millis discardTimeout = {2'000};                 // see discardRestOfRequest()
 
@@ -59,11 +60,15 @@
 void watchCallerDisconnect(const std::shared_ptr<HttpSession> &session,
                            const std::shared_ptr<HttpExchange> &exchange)
 {
+    // Neither is kept alive: the wait lasts until the caller sends or closes, which may be never.
     const std::weak_ptr<HttpExchange> weakExchange = exchange;
+    const std::weak_ptr<HttpSession> weakSession = session;
     session->m_stream.socket().async_wait(
-        tcp::socket::wait_read, [session, weakExchange](const boost::system::error_code &error) {
+        tcp::socket::wait_read,
+        [weakSession, weakExchange](const boost::system::error_code &error) {
             const auto watched = weakExchange.lock();
-            if (!watched || watched->m_responseComplete || watched->m_aborted)
+            const auto session = weakSession.lock();
+            if (!watched || !session || watched->m_responseComplete || watched->m_aborted)
                 return;
             boost::system::error_code ignored;
             const bool nextRequestArrived
@@ -94,12 +99,12 @@
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
-/// Reads and discards the rest of a refused request, within limits. Closing the socket with unread
+/// Reads and discards what the caller still sends, within limits. Closing the socket with unread
 /// bytes would reset the connection, and a caller that is still sending might never read the
 /// refusal.
 asio::awaitable<void> discardRestOfRequest(HttpSession &session)
 {
-    std::string bytes(readChunkSize, '\0');
+    std::string bytes(discardChunkSize, '\0');
     std::size_t remaining = discardLimit;
     boost::system::error_code ignored;
     session.m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -146,7 +151,7 @@
     exchange->m_session = session.get();
     if (error) {
         session->m_keepAlive = false;
-        reader.m_body = {};
+        reader.m_body = std::string();
         if (error == notAdmitted() && session->m_options->m_makeErrorResponse) {
             // The rest isn't read: the client may send it for as long as it likes.
             const HttpResponse refusal
@@ -188,9 +193,10 @@
         if (listener->m_stopped)
             break;
     }
-    // Sends a FIN after the last response, so that the caller can read it to its end.
-    boost::system::error_code ignored;
-    session->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // Sends a FIN after the last response, so that the caller can read it to its end. Closing at
+    // once would reset the connection if the caller has sent more.
+    if (admitted.m_admitted && !session->m_closing)
+        co_await discardRestOfRequest(*session);
 }
 
 /// Whether the error says that the other side closed or reset the connection.
@@ -296,11 +302,11 @@
 asio::awaitable<bool> sendResponse(HttpExchange &exchange, const HttpResponse &response)
 {
     HttpSession &session = *exchange.m_session;
-    http::response<http::string_body> message;
+    http::response<http::span_body<const char>> message;
     message.version(11);
     message.result(response.m_head.m_status);
     setFields(message, response.m_head.m_fields);
-    message.body() = response.m_body;
+    message.body() = beast::span<const char>(response.m_body.data(), response.m_body.size());
     session.m_keepAlive = session.m_keepAlive && !exchange.m_closeAfter;
     message.keep_alive(session.m_keepAlive);
     message.prepare_payload();
--- a/src/connection/httpsession.cpp
+++ b/src/connection/httpsession.cpp
@@ -9,8 +9,10 @@
 
 constexpr std::size_t firstReadSize = 2UL * 1024;  // bytes; of most requests without a body
 constexpr std::size_t firstBodySpace = 2UL * 1024; // bytes, if the length isn't stated
-/// The fields of a head are held as received and once more as parsed.
-constexpr std::size_t copiesOfHead = 2;
+/// The bytes of a head are held as received, as parsed, and in the request that is sent on.
+constexpr std::size_t copiesOfHead = 3;
+/// What each field takes besides its bytes, in all those places.
+constexpr std::size_t fieldOverhead = 320;
 
 Millis timeNow()
 {
@@ -28,10 +30,10 @@
     }
 }
 
-std::size_t bytesHeld(const HttpSession &session, const RequestReader &reader)
+std::size_t headBytesHeld(const HttpSession &session, const RequestReader &reader)
 {
     return session.m_buffer.capacity() + copiesOfHead * reader.m_headBytes
-        + reader.m_body.capacity();
+        + fieldOverhead * reader.m_headLines;
 }
 
 /// Whether the session may hold what it has received so far.
@@ -41,37 +43,77 @@
     if (!control)
         return true;
     const AdmissionDecision decision
-        = growTo(control->m_table, session.m_id, bytesHeld(session, reader), timeNow());
+        = growTo(control->m_table, session.m_id,
+                 headBytesHeld(session, reader) + reader.m_body.capacity(), timeNow());
     closeSessions(*control, decision.m_close);
     return decision.m_admitted && !session.m_closing;
 }
 
-/// Makes room in the body for the next bytes, for at most twice of what it holds already.
-void makeRoom(RequestReader &reader)
+/// Gives the parser room for further bytes of the body: what is left of it, or a little more.
+void provideRoom(RequestReader &reader)
 {
-    const std::size_t held = reader.m_body.size();
-    std::size_t room = std::clamp(held, firstBodySpace, readChunkSize);
-    if (const auto left = reader.m_parser.content_length_remaining()) {
-        room = static_cast<std::size_t>(std::min<std::uint64_t>(room, *left));
-        const std::uint64_t whole = held + *left;
-        if (held + room > reader.m_body.capacity())
-            reader.m_body.reserve(static_cast<std::size_t>(
-                std::min<std::uint64_t>(whole, std::max(2 * held, held + room))));
+    std::string &body = reader.m_body;
+    if (reader.m_bodyBytes == body.size()) {
+        std::size_t room = std::clamp(body.size(), firstBodySpace, readChunkSize);
+        if (const auto left = reader.m_parser.content_length_remaining()) {
+            const std::uint64_t whole = body.size() + *left;
+            room = static_cast<std::size_t>(std::min<std::uint64_t>(room, *left));
+            if (body.size() + room > body.capacity()) // twice as much, but no more than the whole
+                body.reserve(static_cast<std::size_t>(
+                    std::min<std::uint64_t>(whole, body.size() + std::max(body.size(), room))));
+        }
+        body.resize(body.size() + room);
     }
-    reader.m_body.resize(held + room);
-    auto &body = reader.m_parser.get().body();
-    body.data = reader.m_body.data() + held;
-    body.size = room;
-    body.more = true;
+    auto &target = reader.m_parser.get().body();
+    target.data = body.data() + reader.m_bodyBytes;
+    target.size = body.size() - reader.m_bodyBytes;
+    target.more = true;
 }
 
-/// Cuts the room that received no bytes.
-void takeReceived(RequestReader &reader)
+/// Parses the next part of what has arrived. The error is need_more if the rest is incomplete.
+boost::system::error_code parseNext(HttpSession &session, RequestReader &reader)
 {
-    auto &body = reader.m_parser.get().body();
-    reader.m_body.resize(reader.m_body.size() - body.size);
-    body.data = nullptr;
-    body.size = 0;
+    auto &parser = reader.m_parser;
+    const bool inBody = parser.is_header_done();
+    if (inBody)
+        provideRoom(reader);
+    boost::system::error_code error;
+    const auto bytes = session.m_buffer.data();
+    const std::size_t parsed = parser.put(bytes, error);
+    if (inBody) {
+        reader.m_bodyBytes = reader.m_body.size() - parser.get().body().size;
+    } else {
+        const auto *const begin = static_cast<const char *>(bytes.data());
+        reader.m_headBytes += parsed;
+        reader.m_headLines += static_cast<std::size_t>(std::count(begin, begin + parsed, '\n'));
+    }
+    session.m_buffer.consume(parsed);
+    return error == http::error::need_buffer ? boost::system::error_code() : error;
+}
+
+/// Parses all that has arrived. The error is need_more if the request isn't complete.
+boost::system::error_code parseArrived(HttpSession &session, RequestReader &reader)
+{
+    while (!reader.m_parser.is_done()) {
+        if (session.m_buffer.size() == 0)
+            return http::error::need_more;
+        if (const auto error = parseNext(session, reader))
+            return error;
+    }
+    return {};
+}
+
+/// Receives further bytes of a request.
+asio::awaitable<boost::system::error_code> receive(HttpSession &session, std::size_t size)
+{
+    auto &buffer = session.m_buffer;
+    const std::size_t room = std::min(size, buffer.max_size() - buffer.size());
+    if (room == 0)
+        co_return http::error::buffer_overflow; // an endless line
+    const auto [error, count]
+        = co_await session.m_stream.async_read_some(buffer.prepare(room), useAwaitable);
+    buffer.commit(count);
+    co_return error;
 }
 
 } // namespace
@@ -111,31 +153,31 @@
 
 asio::awaitable<boost::system::error_code> readRequest(HttpSession &session, RequestReader &reader)
 {
-    auto &parser = reader.m_parser;
-    while (!parser.is_done()) {
-        const bool inBody = parser.is_header_done();
-        if (inBody)
-            makeRoom(reader);
-        const auto [error, count] = co_await http::async_read_some(
-            session.m_stream, session.m_buffer, parser, useAwaitable);
-        if (inBody)
-            takeReceived(reader);
-        else
-            reader.m_headBytes += count;
+    while (true) {
+        auto error = parseArrived(session, reader);
         if (session.m_closing || !mayGoOn(session, reader))
             co_return notAdmitted();
-        if (error && error != http::error::need_buffer)
+        if (error != http::error::need_more) {
+            reader.m_body.resize(reader.m_bodyBytes);
+            co_return error;
+        }
+        const std::size_t size = reader.m_parser.is_header_done() ? readChunkSize : firstReadSize;
+        error = co_await receive(session, size);
+        if (session.m_closing)
+            co_return notAdmitted();
+        if (error == asio::error::eof)
+            co_return reader.m_parser.got_some() ? http::error::partial_message
+                                                 : http::error::end_of_stream;
+        if (error)
             co_return error;
     }
-    co_return boost::system::error_code();
 }
 
 void recordHandling(HttpSession &session, const RequestReader &reader, std::size_t bodyBytes)
 {
     if (AdmissionControl *control = session.m_options->m_admission.get())
         setStage(control->m_table, session.m_id, ConnectionStage::Handling,
-                 session.m_buffer.capacity() + copiesOfHead * reader.m_headBytes + bodyBytes,
-                 timeNow());
+                 headBytesHeld(session, reader) + bodyBytes, timeNow());
 }
 
 void recordIdle(HttpSession &session)
--- a/src/connection/httpsession.h
+++ b/src/connection/httpsession.h
@@ -46,9 +46,13 @@
 /// A request while it arrives.
 struct RequestReader
 {
+    RequestReader() { m_parser.eager(true); } // parses all that has arrived in one call
+
     http::request_parser<http::buffer_body> m_parser;
-    std::string m_body;
-    std::size_t m_headBytes = 0; // received of the head
+    std::string m_body;          // with room for further bytes, until the request is complete
+    std::size_t m_bodyBytes = 0; // received of the body
+    std::size_t m_headBytes = 0; // parsed of the head
+    std::size_t m_headLines = 0; // of these, lines: at most one field each
 };
 
 /// Error of readRequest() if the request was ended to admit others.
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -67,7 +67,8 @@
     response.m_body = failure.m_detail + "\n";
     if (errorResponseFor(failure.m_kind).m_sendsRetryAfter)
         addField(response.m_head.m_fields, "Retry-After", "1");
-    logWarning("malformed_request", {{"why", failure.m_detail}});
+    if (failure.m_kind != ErrorKind::Overloaded) // those are summed up in `clients_closed`
+        logWarning("malformed_request", {{"why", failure.m_detail}});
     return response;
 }
 
@@ -82,6 +83,13 @@
                     static_cast<std::size_t>(machine.m_memoryMb * bytesPerMb * answerShare));
 }
 
+std::shared_ptr<AdmissionControl> makeAdmission(const GatewaySettings &settings)
+{
+    auto admission = std::make_shared<AdmissionControl>();
+    admission->m_table.m_limits = admissionLimitsOf(settings.m_machine);
+    return admission;
+}
+
 using Handler = asio::awaitable<void> (*)(Gateway &, HttpExchange &);
 
 std::optional<Failure> listenOn(Gateway &gateway, const Endpoint &endpoint, Handler handler,
@@ -239,8 +247,8 @@
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
     gateway->m_hostOptions = std::make_shared<HttpServerOptions>(*gateway->m_callerOptions);
-    gateway->m_admission = std::make_shared<AdmissionControl>();
-    gateway->m_admission->m_table.m_limits = admissionLimitsOf(settings.m_machine);
+    gateway->m_hostOptions->m_admission = makeAdmission(settings);
+    gateway->m_admission = makeAdmission(settings);
     gateway->m_callerOptions->m_admission = gateway->m_admission;
     gateway->m_answerBytes.m_limit = answerBytesOf(settings.m_machine, gateway->m_answerBytes);
     gateway->m_accounts = makeAccountGate(gateway->m_random());
@@ -262,6 +270,7 @@
     plain->m_bodyLimit = plain->m_headLimit; // none of their requests needs a body
     auto directory = std::make_shared<HttpServerOptions>(*plain);
     directory->m_admission = gateway.m_admission;
+    plain->m_admission = makeAdmission(settings); // callers don't close the platform's connections
     auto failure = listenOn(gateway, settings.m_caller, relayCall, gateway.m_callerOptions,
                             gateway.m_callers);
     if (!failure)
--- a/tests/unit/admission.cpp
+++ b/tests/unit/admission.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST_SUITE(AdmissionDecisionsTest);
     CPPUNIT_TEST(stalledBodiesMakeWayForOthers);
     CPPUNIT_TEST(smallRequestsAlwaysHaveMemory);
+    CPPUNIT_TEST(largeRequestsDontCloseSmallOnes);
     CPPUNIT_TEST(completeRequestsAreNeverClosed);
     CPPUNIT_TEST(inactiveConnectionsMakeWayForNewOnes);
     CPPUNIT_TEST(limitsAreOutOfReachOfOrdinaryClients);
@@ -79,6 +80,30 @@
         }
     }
 
+    /// Load: small requests beside large ones that use all that is for them; a further large one
+    /// arrives. Guards against small requests that are closed for it, though that frees nothing
+    /// that it may use.
+    void largeRequestsDontCloseSmallOnes()
+    {
+        AdmissionTable table = tableFor(120, 3'075);
+        std::uint64_t client = 0;
+        while (table.m_largeBytes + 2 * large < table.m_limits.m_bytes * 3 / 4) {
+            const ConnectionId id = connect(table, ++client, {1});
+            growTo(table, id, large, {1});
+            setStage(table, id, ConnectionStage::Handling, large, {1});
+        }
+        for (int number = 0; number < 40; ++number)
+            growTo(table, connect(table, ++client, {1}), 20'000, {1});
+        for (int number = 0; number < 3; ++number) {
+            const ConnectionId late = connect(table, ++client, {2'000});
+            const AdmissionDecision decision = growTo(table, late, 2 * large, {2'000});
+            CPPUNIT_ASSERT(decision.m_close.empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, table.m_closed);
+        CPPUNIT_ASSERT(table.m_refused > 0);
+        CPPUNIT_ASSERT_EQUAL(sumOfBytes(table), table.m_bytes);
+    }
+
     /// Guards against a request that runs and is closed for another one.
     void completeRequestsAreNeverClosed()
     {
