--- a/tests/unit/admission.cpp
+++ b/tests/unit/admission.cpp
@@ -133,8 +133,10 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, table.m_limits.m_connections);
         const ConnectionId busy = connect(table, 1, {1});
         setStage(table, busy, ConnectionStage::Handling, 100, {1});
+        ConnectionId last = busy;
         for (std::uint64_t client = 2; client <= 5; ++client)
-            connect(table, client, {static_cast<std::int64_t>(client)});
+            last = connect(table, client, {static_cast<std::int64_t>(client)});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, last.m_value);
         const AdmissionDecision decision = admitConnection(table, {6}, {9});
         CPPUNIT_ASSERT(decision.m_admitted);
         CPPUNIT_ASSERT(decision.m_close == std::vector<ConnectionId>{{2}});
