--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -152,16 +152,14 @@
     if (error) {
         session->m_keepAlive = false;
         reader.m_body = std::string();
-        if (error == notAdmitted() && session->m_options->m_makeErrorResponse) {
-            // The rest isn't read: the client may send it for as long as it likes.
+        const bool refused = error == notAdmitted() || isHttpError(error);
+        if (refused && session->m_options->m_makeErrorResponse) {
             const HttpResponse refusal
                 = session->m_options->m_makeErrorResponse(requestFailure(error));
             co_await sendResponse(*exchange, refusal);
-        } else if (isHttpError(error) && session->m_options->m_makeErrorResponse) {
-            const HttpResponse refusal
-                = session->m_options->m_makeErrorResponse(requestFailure(error));
-            co_await sendResponse(*exchange, refusal);
-            co_await discardRestOfRequest(*session);
+            // What isn't admitted isn't read on: the client may send for as long as it likes.
+            if (error != notAdmitted())
+                co_await discardRestOfRequest(*session);
         }
         co_return false;
     }
--- a/src/connection/httpsession.cpp
+++ b/src/connection/httpsession.cpp
@@ -103,7 +103,7 @@
     return {};
 }
 
-/// Receives further bytes of a request.
+/// Receives the first or further bytes of a request.
 asio::awaitable<boost::system::error_code> receive(HttpSession &session, std::size_t size)
 {
     auto &buffer = session.m_buffer;
@@ -145,10 +145,7 @@
     if (session.m_buffer.size() > 0)
         co_return true;
     session.m_stream.expires_after(toChrono(session.m_options->m_idleTimeout));
-    const auto [error, count] = co_await session.m_stream.async_read_some(
-        session.m_buffer.prepare(firstReadSize), useAwaitable);
-    session.m_buffer.commit(count);
-    co_return !error;
+    co_return !co_await receive(session, firstReadSize);
 }
 
 asio::awaitable<boost::system::error_code> readRequest(HttpSession &session, RequestReader &reader)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -726,7 +726,7 @@
     /// ms after a key was revoked for which some host may still accept it, also one that lost
     /// contact; 0: a host that lost contact goes on with the configuration that it has.
     Millis m_keyCheckWithin = {0};
-    /// Tokens, or requests, that an account may get beyond its limit in some seconds, over all
+    /// Tokens that an account with a limit of tokens may get beyond it in some seconds, over all
     /// hosts; 0: none.
     double m_accountSlack = 0;
 };
--- a/src/process/accountgate.cpp
+++ b/src/process/accountgate.cpp
@@ -24,8 +24,6 @@
 constexpr std::size_t maxRecentDecisions = 20'000; // more than are asked for in that time
 constexpr std::size_t maxDeparted = 400;           // hosts; more don't stop at the same time
 constexpr Millis silenceLogInterval = {1'000};
-/// Without a heartbeat of the lease holder for longer than this it isn't asked.
-constexpr Millis holderTimeout = {2'500};
 
 Millis confirmationAge(const Gateway &gateway)
 {
@@ -44,8 +42,7 @@
 {
     const auto peer = gateway.m_peers.find(gateway.m_holder);
     // A stopping host isn't in the register any more, and gets no heartbeats.
-    const bool alive
-        = gateway.m_stopping || now(gateway) - gateway.m_holderHeartbeatAt < holderTimeout;
+    const bool alive = gateway.m_stopping || isHolderAlive(gateway);
     return alive && peer != gateway.m_peers.end() ? &peer->second : nullptr;
 }
 
@@ -61,9 +58,9 @@
     return chosen;
 }
 
-void sendAccountMessage(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat)
+void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
 {
-    sendDatagram(gateway, MessageKind::Account, peer.m_entry.m_peer, encodeHeartbeat(heartbeat));
+    sendDatagram(gateway, MessageKind::Account, host.m_peer, encodeHeartbeat(heartbeat));
 }
 
 void askForConfirmation(Gateway &gateway, const Peer *peer)
@@ -74,10 +71,10 @@
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.confirmation_ask = ++gate.m_lastNumber;
     gate.m_confirmationAsks[gate.m_lastNumber] = now(gateway);
-    sendAccountMessage(gateway, *peer, heartbeat);
+    sendAccountMessage(gateway, peer->m_entry, heartbeat);
 }
 
-void replyToConfirmationAsk(Gateway &gateway, const Peer &peer, std::uint64_t number)
+void replyToConfirmationAsk(Gateway &gateway, const HostEntry &host, std::uint64_t number)
 {
     if (!gateway.m_routes)
         return;
@@ -86,7 +83,7 @@
     heartbeat.confirmation_reply->number = number;
     heartbeat.confirmation_reply->version = gateway.m_routes->m_version;
     heartbeat.confirmation_reply->age_ms = confirmationAge(gateway).m_count;
-    sendAccountMessage(gateway, peer, heartbeat);
+    sendAccountMessage(gateway, host, heartbeat);
 }
 
 void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply)
@@ -172,19 +169,18 @@
                     now(gateway));
 }
 
-void replyToQuotaAsk(Gateway &gateway, const Peer &peer, const wire::QuotaAskT &ask)
+void replyToQuotaAsk(Gateway &gateway, const HostEntry &host, const wire::QuotaAskT &ask)
 {
     if (!std::isfinite(ask.cost) || ask.cost < 0)
         return;
-    const auto reply
-        = decideOnce(gateway, peer.m_entry.m_host, ask.number, {ask.account}, ask.cost);
+    const auto reply = decideOnce(gateway, host.m_host, ask.number, {ask.account}, ask.cost);
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.quota_reply = std::make_unique<wire::QuotaReplyT>();
     heartbeat.quota_reply->number = ask.number;
     heartbeat.quota_reply->decided = reply.has_value();
     heartbeat.quota_reply->granted = reply && reply->m_granted;
     heartbeat.quota_reply->wait_ms = reply ? static_cast<std::int32_t>(reply->m_wait.m_count) : 0;
-    sendAccountMessage(gateway, peer, heartbeat);
+    sendAccountMessage(gateway, host, heartbeat);
 }
 
 void applyQuotaReply(Gateway &gateway, const wire::QuotaReplyT &reply)
@@ -295,7 +291,7 @@
         heartbeat.quota_ask->number = number;
         heartbeat.quota_ask->account = account.m_hash;
         heartbeat.quota_ask->cost = cost;
-        sendAccountMessage(gateway, *holder, heartbeat);
+        sendAccountMessage(gateway, holder->m_entry, heartbeat);
         co_await sleepUntilWoken(pending.m_timer, quotaReplyTimeout);
     }
     gate.m_pendingQuotas.erase(number);
@@ -315,36 +311,36 @@
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.quota_return = std::make_unique<wire::QuotaReturnT>();
     heartbeat.quota_return->number = number;
-    sendAccountMessage(gateway, *holder, heartbeat);
+    sendAccountMessage(gateway, holder->m_entry, heartbeat);
 }
 
-void rememberDeparted(Gateway &gateway, const Peer &peer)
+void rememberDeparted(Gateway &gateway, const HostEntry &host)
 {
     auto &departed = gateway.m_accounts->m_departed;
     if (departed.size() >= maxDeparted)
         departed.clear();
-    departed[peer.m_entry.m_host] = peer;
+    departed[host.m_host] = host;
 }
 
-void applyAccountMessages(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat)
+void applyAccountMessages(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
 {
     if (heartbeat.confirmation_ask > 0)
-        replyToConfirmationAsk(gateway, peer, heartbeat.confirmation_ask);
+        replyToConfirmationAsk(gateway, host, heartbeat.confirmation_ask);
     if (heartbeat.confirmation_reply)
         applyConfirmationReply(gateway, *heartbeat.confirmation_reply);
     if (heartbeat.quota_ask)
-        replyToQuotaAsk(gateway, peer, *heartbeat.quota_ask);
+        replyToQuotaAsk(gateway, host, *heartbeat.quota_ask);
     if (heartbeat.quota_reply)
         applyQuotaReply(gateway, *heartbeat.quota_reply);
     if (heartbeat.quota_return)
-        applyReturn(gateway, peer.m_entry.m_host, heartbeat.quota_return->number);
+        applyReturn(gateway, host.m_host, heartbeat.quota_return->number);
 }
 
 void applyMessagesOfDeparted(Gateway &gateway, const wire::BeatT &heartbeat)
 {
-    const auto peer = gateway.m_accounts->m_departed.find({heartbeat.host});
-    if (peer != gateway.m_accounts->m_departed.end() && heartbeat.brief)
-        applyAccountMessages(gateway, peer->second, heartbeat);
+    const auto host = gateway.m_accounts->m_departed.find({heartbeat.host});
+    if (host != gateway.m_accounts->m_departed.end() && heartbeat.brief)
+        applyAccountMessages(gateway, host->second, heartbeat);
 }
 
 } // namespace apricot
--- a/src/process/accountgate.h
+++ b/src/process/accountgate.h
@@ -55,7 +55,7 @@
     QuotaLedger m_ledger;
     std::map<std::pair<HostName, std::uint64_t>, RecentDecision> m_recent; // by asker and number
     /// Hosts that left the register a moment ago: they serve callers until the end of their stop.
-    std::map<HostName, Peer> m_departed;
+    std::map<HostName, HostEntry> m_departed;
 };
 
 std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber);
@@ -80,10 +80,10 @@
 void giveQuotaBack(Gateway &gateway, std::uint64_t number);
 
 /// To be called when a host left the register.
-void rememberDeparted(Gateway &gateway, const Peer &peer);
+void rememberDeparted(Gateway &gateway, const HostEntry &host);
 
 /// Takes over questions, replies and returns from another host.
-void applyAccountMessages(Gateway &gateway, const Peer &peer, const wire::BeatT &heartbeat);
+void applyAccountMessages(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat);
 
 /// The same from a host that isn't in the register, if it left it a moment ago.
 void applyMessagesOfDeparted(Gateway &gateway, const wire::BeatT &heartbeat);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -530,6 +530,10 @@
 /// comes first, then larger hosts, the others follow by name.
 int hostRank(const Gateway &gateway);
 
+/// Whether some host, this one or another, is known to hold the lease, so that loads can be ordered
+/// and limits of accounts decided on.
+bool isHolderAlive(const Gateway &gateway);
+
 /// Whether a host in the register can carry clearly more than this one.
 bool hasLargerHost(const Gateway &gateway);
 
--- a/src/process/hostregister.cpp
+++ b/src/process/hostregister.cpp
@@ -222,7 +222,7 @@
     }
     if (object.m_deleted) {
         if (const auto peer = gateway.m_peers.find(host); peer != gateway.m_peers.end()) {
-            rememberDeparted(gateway, peer->second);
+            rememberDeparted(gateway, peer->second.m_entry);
             gateway.m_peers.erase(peer);
         }
         countHostChange(gateway.m_hostChanges, gateway.m_hostChanges.m_gone, host);
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -22,6 +22,8 @@
 /// Without a heartbeat for longer than this a host counts as silent, and callers aren't given its
 /// address.
 constexpr Millis hostSilenceLimit = {1'500};
+/// Without a heartbeat of the lease holder for longer than this, nothing is asked of it.
+constexpr Millis holderTimeout = {2'500};
 /// No lease extension is granted or accepted for this long after a heartbeat of an unregistered
 /// host.
 constexpr Millis unregisteredHostWindow = {10'000};
@@ -176,7 +178,7 @@
         applyCrashNews(gateway, heartbeat);
         applyPermits(gateway, peer, heartbeat);
         applyOrigins(gateway, peer, heartbeat);
-        applyAccountMessages(gateway, peer, heartbeat);
+        applyAccountMessages(gateway, peer.m_entry, heartbeat);
         return;
     }
     const Millis time = now(gateway);
@@ -345,6 +347,14 @@
     sendToAllPeers(gateway, MessageKind::Lease, encodeHeartbeat(heartbeat));
 }
 
+bool isHolderAlive(const Gateway &gateway)
+{
+    if (holdsLease(gateway))
+        return true;
+    return !gateway.m_holder.m_text.empty()
+        && now(gateway) - gateway.m_holderHeartbeatAt < holderTimeout;
+}
+
 bool hasLargerHost(const Gateway &gateway)
 {
     return std::any_of(gateway.m_peers.begin(), gateway.m_peers.end(), [&](const auto &peer) {
--- a/src/request/accountcheck.cpp
+++ b/src/request/accountcheck.cpp
@@ -11,16 +11,13 @@
 constexpr Millis retryUndecided = {400}; // Retry-After if the holder is known but didn't decide
 /// Time from the end of a lease until the next holder has taken it.
 constexpr Millis takeoverTime = {500};
-constexpr Millis holderTimeout = {2'500}; // without a heartbeat the holder counts as gone
 
 /// When the limits are decided on again: at once, or when a next holder may have the lease.
 Millis timeUntilDecisions(const Gateway &gateway)
 {
-    const bool holderAlive = !gateway.m_holder.m_text.empty()
-        && now(gateway) - gateway.m_holderHeartbeatAt < holderTimeout;
     const Millis at = takeoverAllowedAt(gateway.m_lease, gateway.m_leaseTiming, {});
     const Millis wait = at - now(gateway);
-    return !holderAlive && wait > Millis{0} ? wait + takeoverTime : retryUndecided;
+    return !isHolderAlive(gateway) && wait > Millis{0} ? wait + takeoverTime : retryUndecided;
 }
 
 } // namespace
--- a/src/request/modelwait.cpp
+++ b/src/request/modelwait.cpp
@@ -14,8 +14,6 @@
 constexpr int maxPermitWaits = 2;
 constexpr int maxPermitAsks = 3;              // of one request without a wait; bounds the messages
 constexpr Millis retryElsewhereAfter = {100}; // another host can take the request at once
-/// Without a heartbeat of the lease holder for longer than this, requests don't wait for a load.
-constexpr Millis holderTimeout = {2'500};
 
 ChoiceInput choiceInput(const Relay &relay)
 {
@@ -32,16 +30,6 @@
     return input;
 }
 
-/// Whether some host, this one or another, is known to hold the lease, so that loads can be
-/// ordered.
-bool isHolderAlive(const Gateway &gateway)
-{
-    if (holdsLease(gateway))
-        return true;
-    return !gateway.m_holder.m_text.empty()
-        && now(gateway) - gateway.m_holderHeartbeatAt < holderTimeout;
-}
-
 /// Retry-After for a request that needs a load while no host may order one: the time until the
 /// lease can be taken over and a swap is complete.
 Millis timeUntilOrders(const Gateway &gateway)
--- a/src/version/yamlreader.cpp
+++ b/src/version/yamlreader.cpp
@@ -149,7 +149,12 @@
     return {readInt(map, key, fallback.m_count, bounds)};
 }
 
-double readReal(YamlMap &map, const std::string &key, double fallback, double above)
+namespace {
+
+/// A finite number that is valid; else adds the fault and returns the fallback.
+template<typename IsValid>
+double readNumber(YamlMap &map, const std::string &key, double fallback, IsValid isValid,
+                  const std::string &fault)
 {
     const auto node = fetchNode(map, key, false);
     if (!node)
@@ -157,24 +162,25 @@
     const auto value = scalar<double>(map, key, *node, "a number");
     if (!value)
         return fallback;
-    if (std::isfinite(*value) && *value > above)
+    if (std::isfinite(*value) && isValid(*value))
         return *value;
-    addFault(map, key, "must be above " + std::to_string(above));
+    addFault(map, key, fault);
     return fallback;
 }
 
+} // namespace
+
+double readReal(YamlMap &map, const std::string &key, double fallback, double above)
+{
+    return readNumber(
+        map, key, fallback, [above](double value) { return value > above; },
+        "must be above " + std::to_string(above));
+}
+
 double readAmount(YamlMap &map, const std::string &key, double fallback)
 {
-    const auto node = fetchNode(map, key, false);
-    if (!node)
-        return fallback;
-    const auto value = scalar<double>(map, key, *node, "a number");
-    if (!value)
-        return fallback;
-    if (std::isfinite(*value) && *value >= 0)
-        return *value;
-    addFault(map, key, "must be 0 or more");
-    return fallback;
+    return readNumber(
+        map, key, fallback, [](double value) { return value >= 0; }, "must be 0 or more");
 }
 
 bool readBool(YamlMap &map, const std::string &key, bool fallback)
