--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -25,6 +25,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer{connectionBufferLimit};
     std::optional<http::response_parser<http::buffer_body>> m_parser;
+    ConnectionUse m_use;
     bool m_pooled = false;        // was taken from the pool for this exchange
     bool m_headRequest = false;   // the request was a HEAD request: the response has no body
     bool m_responseRead = false;  // the response was read to its end
@@ -339,11 +340,11 @@
     co_return !error;
 }
 
-std::string remoteIp(const HttpExchange &exchange)
+Endpoint remoteEndpoint(const HttpExchange &exchange)
 {
     boost::system::error_code error;
     const auto remote = exchange.m_session->m_stream.socket().remote_endpoint(error);
-    return error ? std::string() : remote.address().to_string();
+    return error ? Endpoint() : Endpoint{remote.address().to_string(), remote.port()};
 }
 
 asio::awaitable<bool> writeChunk(HttpExchange &exchange, std::string_view bytes)
@@ -415,6 +416,8 @@
     if (connection && connection->m_idleUntil > std::chrono::steady_clock::now())
         co_return connection;
     connection = std::make_shared<HttpConnection>(*pool.m_io);
+    pool.m_opened += 1;
+    connection->m_use.m_connection = pool.m_opened;
     connection->m_stream.expires_after(toChrono(timeout));
     const tcp::endpoint at = toTcpEndpoint(endpoint);
     const auto [error] = co_await connection->m_stream.async_connect(at, useAwaitable);
@@ -476,6 +479,7 @@
     setFields(message, request.m_fields);
     message.body() = beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
+    connection.m_use.m_requests += 1;
     connection.m_responseRead = false;
     connection.m_headRequest = request.m_method == "HEAD";
     connection.m_stream.expires_after(toChrono(timeout));
@@ -519,6 +523,11 @@
     co_return head;
 }
 
+ConnectionUse useOf(const HttpConnection &connection)
+{
+    return connection.m_use;
+}
+
 const char *toText(BodyFraming framing)
 {
     switch (framing) {
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -91,8 +91,8 @@
     bool m_aborted = false;          // the response was truncated and the connection shut down
 };
 
-/// IP address that the request came from; empty if the connection is gone.
-std::string remoteIp(const HttpExchange &exchange);
+/// Address that the request came from; its IP address is empty if the connection is gone.
+Endpoint remoteEndpoint(const HttpExchange &exchange);
 
 /// Sends a complete response. This and the stream functions return false if the write failed: the
 /// caller can't be reached any more.
@@ -156,6 +156,13 @@
 struct HttpConnection;
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
 
+/// Identifies one exchange on a connection.
+struct ConnectionUse
+{
+    std::uint64_t m_connection = 0; // number of the connection within its pool, from 1 on
+    std::uint64_t m_requests = 0;   // sent on it so far, with the present one
+};
+
 /// Idle connections of one I/O thread, by endpoint.
 struct HttpPool
 {
@@ -163,6 +170,7 @@
     std::map<Endpoint, std::vector<HttpConnectionPtr>> m_idle;
     std::size_t m_maxIdleConnections = 64; // per endpoint
     Millis m_maxIdleTime = {60'000};       // ms; a connection idle for longer isn't reused
+    std::uint64_t m_opened = 0;            // connections so far
     Millis m_ackTimeout = {0}; // ms until unacknowledged data fails a connection; 0: system default
 };
 
@@ -184,6 +192,9 @@
                                                     const HttpRequest &request,
                                                     std::string_view body, Millis timeout);
 
+/// The connection, and how many requests were sent on it.
+ConnectionUse useOf(const HttpConnection &connection);
+
 /// Reads the head of the response. Informational heads (1xx) before it are skipped, a few at most.
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -197,10 +197,12 @@
     if (!ok(head))
         co_return recordSendFailure(relay, id, std::get<Failure>(head));
     relay.m_answer.m_headReceived = true;
+    relay.m_answer.m_status = std::get<HttpHead>(head).m_status;
     recordHeardFrom(relay);
     relay.m_framing = bodyFramingOf(*connection);
     const HttpHead &got = std::get<HttpHead>(head);
     const AnswerMetadata metadata = gateway.m_protocol->readAnswer(got);
+    relay.m_answer.m_requestId = metadata.m_id;
     if (!metadata.m_id.empty() && metadata.m_id != relay.m_metadata.m_id)
         co_return recordSendFailure(
             relay, id,
@@ -320,6 +322,7 @@
     const auto sendFailure
         = co_await sendRequest(*connection, source.m_endpoint, request,
                                relay.m_exchange->m_request.m_body, remainingTime(relay));
+    relay.m_answer.m_sentOn = useOf(*connection);
     if (sendFailure)
         result = recordSendFailure(relay, id, *sendFailure);
     else
@@ -338,6 +341,11 @@
                                                                   : RunState::NotRun)},
                   {"why", result.m_failure.m_detail},
                   {"head", relay.m_answer.m_headReceived ? "yes" : "no"},
+                  {"status",
+                   relay.m_answer.m_headReceived ? std::to_string(relay.m_answer.m_status)
+                                                 : std::string()},
+                  {"answers", relay.m_answer.m_requestId},
+                  {"connection", connectionText(relay)},
                   {"streamed_ms", streamedText(relay)},
                   {"fingerprint", toHex(relay.m_fingerprint)},
                   {"parts", toText(relay.m_metadata.m_sharedParts)}});
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -67,6 +67,14 @@
 
 } // namespace
 
+std::string connectionText(const Relay &relay)
+{
+    const ConnectionUse &use = relay.m_answer.m_sentOn;
+    if (use.m_connection == 0)
+        return {};
+    return std::to_string(use.m_connection) + "/" + std::to_string(use.m_requests);
+}
+
 void logCall(const Relay &relay, const char *outcome, const Failure &failure, unsigned status)
 {
     const Gateway &gateway = *relay.m_gateway;
@@ -94,6 +102,7 @@
               {"servers_age_ms", std::to_string(relay.m_serverTableAge.m_count)},
               {"send_ms", std::to_string(relay.m_sendDelay.m_count)},
               {"sends", std::to_string(relay.m_sends)},
+              {"connection", connectionText(relay)},
               {"waited_ms", std::to_string(relay.m_modelWaitTime.m_count)},
               {"first_ms", std::to_string(relay.m_firstEvent.m_count)},
               {"framing", relay.m_framing ? toText(*relay.m_framing) : ""},
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -14,6 +14,9 @@
 struct AnswerProgress
 {
     bool m_headReceived = false;
+    ConnectionUse m_sentOn;  // connection and number of the request on it
+    unsigned m_status = 0;   // valid if m_headReceived
+    std::string m_requestId; // id of the request that it answers, as it states; empty: not stated
     std::optional<double> m_limit;        // requests a second that the server named as its limit
     std::optional<Millis> m_firstEventAt; // when its first complete event arrived; empty: none yet
     bool m_survived = false; // the server streamed on for survivalTime, or completed the answer
@@ -109,6 +112,9 @@
 
 // --- refusals.cpp: answers of the gateway itself ---
 
+/// Connection of the last send and number of the request on it, as "3/17"; empty: not sent.
+std::string connectionText(const Relay &relay);
+
 /// Logs the result of a request, with the data that the choice of the server was based on.
 void logCall(const Relay &relay, const char *outcome, const Failure &failure, unsigned status);
 
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -251,7 +251,7 @@
 asio::awaitable<void> relayForwardedCall(Gateway &gateway, HttpExchange &exchange)
 {
     const auto origin = takeForwardOrigin(exchange.m_request.m_fields);
-    const std::string ip = remoteIp(exchange);
+    const std::string ip = remoteEndpoint(exchange).m_ip;
     const std::string why = refusalOf(gateway, origin, ip);
     if (why.empty())
         co_return co_await relayCallOf(gateway, exchange, origin->m_host);
