--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -409,10 +409,16 @@
     return listenTcp(ios, endpoint, serve);
 }
 
-asio::awaitable<Result<HttpConnectionPtr>>
-openHttpConnection(HttpPool &pool, const Endpoint &endpoint, Millis timeout, bool forceNew)
+asio::awaitable<Result<HttpConnectionPtr>> openHttpConnection(HttpPool &pool,
+                                                              const Endpoint &endpoint,
+                                                              Millis timeout, bool forceNew,
+                                                              const ConnectionNumbers *except)
 {
-    HttpConnectionPtr connection = forceNew ? nullptr : takeIdleConnection(pool.m_idle, endpoint);
+    const auto mayUse = [except](const HttpConnection &idle) {
+        return !except || !except->contains(idle.m_use.m_connection);
+    };
+    HttpConnectionPtr connection
+        = forceNew ? nullptr : takeIdleConnection(pool.m_idle, endpoint, mayUse);
     if (connection && connection->m_idleUntil > std::chrono::steady_clock::now())
         co_return connection;
     connection = std::make_shared<HttpConnection>(*pool.m_io);
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace apricot {
 
@@ -174,11 +175,16 @@
     Millis m_ackTimeout = {0}; // ms until unacknowledged data fails a connection; 0: system default
 };
 
+/// Connections of one pool, see ConnectionUse::m_connection.
+using ConnectionNumbers = std::set<std::uint64_t>;
+
 /// A pooled connection, or a new one if the pool has none or `forceNew` is set. Set `forceNew` for
 /// a request that must not be repeated: a pooled connection may turn out to be closed only after
-/// bytes were written, and then nobody knows whether the request ran.
+/// bytes were written, and then nobody knows whether the request ran. The connections in `except`,
+/// if given, are left in the pool; it must stay valid until the function has returned.
 asio::awaitable<Result<HttpConnectionPtr>>
-openHttpConnection(HttpPool &pool, const Endpoint &endpoint, Millis timeout, bool forceNew);
+openHttpConnection(HttpPool &pool, const Endpoint &endpoint, Millis timeout, bool forceNew,
+                   const ConnectionNumbers *except = nullptr);
 
 /// Sends a request. `endpoint` becomes its Host field unless the request has one.
 asio::awaitable<std::optional<Failure>> sendRequest(HttpConnection &connection,
--- a/src/connection/peer.cpp
+++ b/src/connection/peer.cpp
@@ -122,7 +122,9 @@
 asio::awaitable<Result<PeerConnectionPtr>> openPeerConnection(PeerPool &pool, const Endpoint &peer,
                                                               Millis timeout, bool forceNew)
 {
-    PeerConnectionPtr connection = forceNew ? nullptr : takeIdleConnection(pool.m_idle, peer);
+    PeerConnectionPtr connection = forceNew
+        ? nullptr
+        : takeIdleConnection(pool.m_idle, peer, [](const PeerConnection &) { return true; });
     if (connection)
         co_return connection;
     connection = std::make_shared<PeerConnection>(tcp::socket(*pool.m_io));
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -56,17 +56,19 @@
 /// closed it, or it holds bytes that belong to no response.
 bool isReusable(asio::ip::tcp::socket &socket);
 
-/// Removes from the pool the most recently used connection to an endpoint that can be reused; null
-/// if there is none.
-template<typename Connection>
+/// Removes from the pool the most recently used connection to an endpoint that can be reused and
+/// for which `mayUse` returns true; null if there is none.
+template<typename Connection, typename Condition>
 std::shared_ptr<Connection>
 takeIdleConnection(std::map<Endpoint, std::vector<std::shared_ptr<Connection>>> &all,
-                   const Endpoint &endpoint)
+                   const Endpoint &endpoint, const Condition &mayUse)
 {
     auto &idle = all[endpoint];
-    while (!idle.empty()) {
-        std::shared_ptr<Connection> connection = std::move(idle.back());
-        idle.pop_back();
+    for (std::size_t at = idle.size(); at-- > 0;) {
+        if (!mayUse(*idle[at]))
+            continue;
+        std::shared_ptr<Connection> connection = std::move(idle[at]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
         if (!isReusable(connection->m_stream.socket()))
             continue;
         connection->m_pooled = true;
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -183,6 +183,16 @@
     return request;
 }
 
+/// Whether the response is the one to the request just sent. A server may send an earlier response
+/// once more, so a response that bears no id is believed only where no other request came before.
+/// Another host answers each request once; its refusals bear no id.
+bool isAnswerToThisSend(const Relay &relay, const AnswerMetadata &metadata)
+{
+    if (!metadata.m_id.empty())
+        return metadata.m_id == relay.m_metadata.m_id;
+    return !relay.m_viaHost.m_text.empty() || relay.m_answer.m_sentOn.m_requests == 1;
+}
+
 /// Reads the answer of the server that the request was sent to, and passes it on or records why
 /// not.
 asio::awaitable<SendResult> receiveAnswer(Relay &relay, const AnswerSource &source,
@@ -203,10 +213,11 @@
     const HttpHead &got = std::get<HttpHead>(head);
     const AnswerMetadata metadata = gateway.m_protocol->readAnswer(got);
     relay.m_answer.m_requestId = metadata.m_id;
-    if (!metadata.m_id.empty() && metadata.m_id != relay.m_metadata.m_id)
+    if (!isAnswerToThisSend(relay, metadata))
         co_return recordSendFailure(
             relay, id,
-            makeFailure(ErrorKind::CrossedAnswer, "the server answers request " + metadata.m_id));
+            makeFailure(ErrorKind::CrossedAnswer,
+                        "the server answers another request: '" + metadata.m_id + "'"));
     relay.m_answer.m_limit = metadata.m_limit;
     if (!metadata.m_misdirected && (metadata.m_serverStamped || metadata.m_notRun))
         recordStatements(gateway, id, metadata, relay.m_chosenAt + relay.m_sendDelay);
@@ -280,8 +291,11 @@
     const RunningCount runningCount(relay, id);
     const Millis connectBegan = now(gateway);
     const Millis connectBy = std::min(connectTimeout, remainingTime(relay));
-    const bool forceNew = !mayReuseConnections(gateway, relay.m_service);
-    auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, connectBy, forceNew);
+    // Without an id only the first response on a connection is known to be the one to the request.
+    const bool forceNew
+        = !mayReuseConnections(gateway, relay.m_service) || relay.m_metadata.m_id.empty();
+    auto opened = co_await openHttpConnection(gateway.m_servers, endpoint, connectBy, forceNew,
+                                              &relay.m_connections);
     if (!ok(opened)) {
         recordResult(relay, id, false);
         if (KnownServer *unreached = knownServer(gateway.m_serverTable, id))
@@ -323,6 +337,8 @@
         = co_await sendRequest(*connection, source.m_endpoint, request,
                                relay.m_exchange->m_request.m_body, remainingTime(relay));
     relay.m_answer.m_sentOn = useOf(*connection);
+    if (relay.m_viaHost.m_text.empty())
+        relay.m_connections.insert(relay.m_answer.m_sentOn.m_connection);
     if (sendFailure)
         result = recordSendFailure(relay, id, *sendFailure);
     else
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -45,6 +45,9 @@
     int m_sends = 0;   // number of times that it was sent to a server
     int m_runs = 0;    // sends after which it may have been executed
     std::set<InstanceId> m_triedServers;
+    /// To servers, that it was sent on. It isn't sent on one of them again: a late copy of the
+    /// first response would pass for the second.
+    ConnectionNumbers m_connections;
     HostName m_forwardedBy; // host that sent the request here; empty: it came from its caller
     HostName m_viaHost;     // host that the request is being sent through; empty: none
     std::set<HostName> m_hostsAsked;         // that it was sent through, or that took no connection
