--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -193,6 +193,18 @@
     return !relay.m_viaHost.m_text.empty() || relay.m_answer.m_sentOn.m_requests == 1;
 }
 
+/// Result of an answer whose status promises the caller that the request was not executed, though
+/// the server doesn't state so. Such an answer isn't passed on.
+SendResult failUnstated(Relay &relay, const InstanceId &id, unsigned status)
+{
+    recordAnswer(relay, id, false);
+    recordErrorAnswer(relay);
+    return {SendOutcome::Failed,
+            makeFailure(ErrorKind::BackendBroken,
+                        "status " + std::to_string(status)
+                            + " without a statement that the request did not run")};
+}
+
 /// Reads the answer of the server that the request was sent to, and passes it on or records why
 /// not.
 asio::awaitable<SendResult> receiveAnswer(Relay &relay, const AnswerSource &source,
@@ -242,6 +254,9 @@
     response.m_head = got;
     response.m_body = std::get<std::string>(std::move(body));
     releaseHttpConnection(pool, source.m_endpoint, connection);
+    const bool isOfServer = relay.m_viaHost.m_text.empty() || metadata.m_serverStamped;
+    if (isOfServer && promisesNotRun(got.m_status) && !metadata.m_notRun)
+        co_return failUnstated(relay, id, got.m_status);
     if (!relay.m_viaHost.m_text.empty() && !relay.m_headSent)
         co_return co_await passHostAnswer(relay, std::move(response));
     if (metadata.m_notRun) {
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -35,9 +35,7 @@
     if (relay.m_runs == 0)
         return failure;
     failure.m_run = RunState::Unknown;
-    const unsigned status = errorResponseFor(failure.m_kind).m_status;
-    const bool claimsNotRun = status == 503 || status == 429 || status == 408 || status == 421;
-    if (claimsNotRun)
+    if (promisesNotRun(errorResponseFor(failure.m_kind).m_status))
         failure.m_kind = ErrorKind::BackendBroken;
     return failure;
 }
@@ -67,6 +65,11 @@
 
 } // namespace
 
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string connectionText(const Relay &relay)
 {
     const ConnectionUse &use = relay.m_answer.m_sentOn;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -121,6 +121,9 @@
 /// Logs the result of a request, with the data that the choice of the server was based on.
 void logCall(const Relay &relay, const char *outcome, const Failure &failure, unsigned status);
 
+/// Whether a response with that status tells the caller that the request was not executed.
+bool promisesNotRun(unsigned status);
+
 /// Ends a request with an error response, or aborts the connection if the response has already
 /// begun.
 asio::awaitable<void> refuse(Relay &relay, Failure failure);
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -230,7 +230,7 @@
                                          host + " doesn't reach the servers either",
                                          shortRetryAfter)};
     }
-    const bool statesNotRun = status == 408 || status == 429 || status == 503;
+    const bool statesNotRun = promisesNotRun(status);
     if (statesNotRun && relay.m_runs > 0) {
         co_await refuse(relay, makeFailure(ErrorKind::BackendRefused, "refused by " + host));
         co_return SendResult{};
