--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -500,6 +500,7 @@
 /// Reads one head, informational or not, within the time limit set before.
 asio::awaitable<boost::system::error_code> readOneHead(HttpConnection &connection)
 {
+    connection.m_responseRead = false;
     connection.m_parser.emplace();
     connection.m_parser->skip(connection.m_headRequest);
     connection.m_parser->body_limit(boost::none);
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -202,6 +202,7 @@
 ConnectionUse useOf(const HttpConnection &connection);
 
 /// Reads the head of the response. Informational heads (1xx) before it are skipped, a few at most.
+/// May be called again after the body, if the server sent a response that belongs to no request.
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
 
 /// How the body of the response is framed whose head was read last.
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t maxAnswerBytes = 16UL << 20; // limit for an answer that isn't a stream
+constexpr int maxLateCopies = 2;                   // skipped before one answer
 
 /// Counts a request as running at a server for the lifetime of the object.
 struct RunningCount
@@ -205,6 +206,40 @@
                             + " without a statement that the request did not run")};
 }
 
+/// Whether the response is a late copy of the one to an earlier request, after which the answer to
+/// the request just sent is still to come.
+bool isLateCopy(const Relay &relay, const AnswerMetadata &metadata)
+{
+    return relay.m_answer.m_sentOn.m_requests > 1 && !metadata.m_id.empty()
+        && metadata.m_id != relay.m_metadata.m_id;
+}
+
+/// Reads the head of the next response on the connection that isn't a late copy.
+asio::awaitable<Result<HttpHead>> readAnswerHead(Relay &relay, const InstanceId &server,
+                                                 HttpConnection &connection, Millis timeout)
+{
+    Gateway &gateway = *relay.m_gateway;
+    const Millis end = now(gateway) + timeout;
+    for (int copies = 0;; ++copies) {
+        auto head = co_await readHead(connection, std::max(end - now(gateway), Millis{1}));
+        if (!ok(head) || copies == maxLateCopies)
+            co_return head;
+        const auto metadata = gateway.m_protocol->readAnswer(std::get<HttpHead>(head));
+        if (!isLateCopy(relay, metadata))
+            co_return head;
+        logEvent("late_copy",
+                 {{"id", relay.m_metadata.m_id},
+                  {"server", server.m_text},
+                  {"answers", metadata.m_id},
+                  {"status", std::to_string(std::get<HttpHead>(head).m_status)},
+                  {"connection", connectionText(relay)}});
+        const auto body = co_await readBody(connection, std::max(end - now(gateway), Millis{1}),
+                                            maxAnswerBytes, &relay.m_heldBytes);
+        if (!ok(body))
+            co_return std::get<Failure>(body);
+    }
+}
+
 /// Reads the answer of the server that the request was sent to, and passes it on or records why
 /// not.
 asio::awaitable<SendResult> receiveAnswer(Relay &relay, const AnswerSource &source,
@@ -215,7 +250,7 @@
     HttpPool &pool = relay.m_viaHost.m_text.empty() ? gateway.m_servers : gateway.m_hosts;
     const Millis headTimeout = answerTimeout(*relay.m_route, relay.m_runs,
                                              relay.m_choice.m_candidates, remainingTime(relay));
-    auto head = co_await readHead(*connection, headTimeout);
+    auto head = co_await readAnswerHead(relay, id, *connection, headTimeout);
     if (!ok(head))
         co_return recordSendFailure(relay, id, std::get<Failure>(head));
     relay.m_answer.m_headReceived = true;
