--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -535,6 +535,11 @@
     return connection.m_use;
 }
 
+bool wasSentWhole(const HttpConnection &connection)
+{
+    return !connection.m_earlyResponse;
+}
+
 const char *toText(BodyFraming framing)
 {
     switch (framing) {
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -201,6 +201,9 @@
 /// The connection, and how many requests were sent on it.
 ConnectionUse useOf(const HttpConnection &connection);
 
+/// Whether all of the last request was sent. If a response came first, the rest was left out.
+bool wasSentWhole(const HttpConnection &connection);
+
 /// Reads the head of the response. Informational heads (1xx) before it are skipped, a few at most.
 /// May be called again after the body, if the server sent a response that belongs to no request.
 asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout);
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -208,9 +208,10 @@
 
 /// Whether the response is a late copy of the one to an earlier request, after which the answer to
 /// the request just sent is still to come.
-bool isLateCopy(const Relay &relay, const AnswerMetadata &metadata)
+bool isLateCopy(const Relay &relay, const HttpConnection &connection,
+                const AnswerMetadata &metadata)
 {
-    return relay.m_answer.m_sentOn.m_requests > 1 && !metadata.m_id.empty()
+    return useOf(connection).m_requests > 1 && wasSentWhole(connection) && !metadata.m_id.empty()
         && metadata.m_id != relay.m_metadata.m_id;
 }
 
@@ -225,7 +226,7 @@
         if (!ok(head) || copies == maxLateCopies)
             co_return head;
         const auto metadata = gateway.m_protocol->readAnswer(std::get<HttpHead>(head));
-        if (!isLateCopy(relay, metadata))
+        if (!isLateCopy(relay, connection, metadata))
             co_return head;
         logEvent("late_copy",
                  {{"id", relay.m_metadata.m_id},
