--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -2,8 +2,42 @@
 #include "gateway.h"
 #include "version/yamlreader.h"
 
+#include <cctype>
+#include <cstdlib>
+
 namespace apricot {
 
+namespace {
+
+/// Settings that the environment of the process may state too.
+const std::vector<std::string> &environmentSettings()
+{
+    static const std::vector<std::string> names
+        = {"key-check-within-ms", "account-limit-slack", "memory-mb", "max-descriptors"};
+    return names;
+}
+
+/// Name of the variable for a setting: APRICOTGW_MEMORY_MB for memory-mb.
+std::string variableFor(const std::string &setting)
+{
+    std::string variable = "APRICOTGW_";
+    for (const char letter : setting)
+        variable += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
+    return variable;
+}
+
+/// Adds to the map what only the environment states. An empty variable states nothing.
+void addFromEnvironment(YamlMap &map)
+{
+    for (const std::string &setting : environmentSettings()) {
+        const char *const value = std::getenv(variableFor(setting).c_str());
+        if (value && *value && !hasKey(map, setting))
+            map.m_node[setting] = std::string(value);
+    }
+}
+
+} // namespace
+
 std::variant<GatewaySettings, std::vector<FileFault>> readGatewaySettings(const std::string &path)
 {
     YamlFile file;
@@ -12,6 +46,7 @@
     if (!opened)
         return file.m_faults;
     YamlMap &map = *opened;
+    addFromEnvironment(map);
     GatewaySettings settings;
     settings.m_host.m_text = readName(map, "host", true);
     settings.m_dataCentre.m_text = readName(map, "data-centre", true);
