--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -289,8 +289,7 @@
     response.m_head = got;
     response.m_body = std::get<std::string>(std::move(body));
     releaseHttpConnection(pool, source.m_endpoint, connection);
-    const bool isOfServer = relay.m_viaHost.m_text.empty() || metadata.m_serverStamped;
-    if (isOfServer && promisesNotRun(got.m_status) && !metadata.m_notRun)
+    if (isUnstatedPromise(metadata, got.m_status, !relay.m_viaHost.m_text.empty()))
         co_return failUnstated(relay, id, got.m_status);
     if (!relay.m_viaHost.m_text.empty() && !relay.m_headSent)
         co_return co_await passHostAnswer(relay, std::move(response));
--- a/src/request/refusals.cpp
+++ b/src/request/refusals.cpp
@@ -70,6 +70,12 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool isUnstatedPromise(const AnswerMetadata &metadata, unsigned status, bool viaHost)
+{
+    const bool isOfServer = !viaHost || metadata.m_serverStamped || !metadata.m_id.empty();
+    return isOfServer && promisesNotRun(status) && !metadata.m_notRun;
+}
+
 std::string connectionText(const Relay &relay)
 {
     const ConnectionUse &use = relay.m_answer.m_sentOn;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -124,6 +124,11 @@
 /// Whether a response with that status tells the caller that the request was not executed.
 bool promisesNotRun(unsigned status);
 
+/// Whether the status of a server's answer promises that, though the server doesn't state it.
+/// `viaHost`: the answer came from another host. An older one hands on what servers answer, while
+/// its own answers bear neither a server's stamp nor a request id.
+bool isUnstatedPromise(const AnswerMetadata &metadata, unsigned status, bool viaHost);
+
 /// Ends a request with an error response, or aborts the connection if the response has already
 /// begun.
 asio::awaitable<void> refuse(Relay &relay, Failure failure);
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -1,6 +1,6 @@
 // Unit tests of the gateway's decisions about one request: route, service, server, time limits,
 // retries and event streams; and of the server table that the choice of a server is based on.
-#include "gateway.h"
+#include "request/relay.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(onlyServersWithTheAdapterAreChosen);
     CPPUNIT_TEST(failedServersAreAvoidedForALimitedTime);
     CPPUNIT_TEST(answerTimeoutLeavesTimeOnlyForAPermittedRetry);
+    CPPUNIT_TEST(statusThatAnOlderHostHandsOnPromisesNothing);
     CPPUNIT_TEST(modelWaitEndsBeforeTheCallerGivesUp);
     CPPUNIT_TEST(longestRunTimeFollowsRecentAnswers);
     CPPUNIT_TEST(lateInAStopOnlyRequestsThatSurelyEndAreSent);
@@ -231,6 +232,26 @@
         CPPUNIT_ASSERT_EQUAL(all.m_count, answerTimeout(route, 0, 3, left).m_count);
     }
 
+    /// Guards against a request that runs though its caller was told that it did not: a server ran
+    /// it and answered 503, without a stamp, and a host of an older build handed that on.
+    void statusThatAnOlderHostHandsOnPromisesNothing()
+    {
+        AnswerMetadata ofServer;
+        ofServer.m_id = "r1";
+        AnswerMetadata stamped;
+        stamped.m_serverStamped = true;
+        const AnswerMetadata ofHost;
+        for (const unsigned status : {408U, 429U, 503U}) {
+            CPPUNIT_ASSERT(isUnstatedPromise(ofServer, status, true));
+            CPPUNIT_ASSERT(isUnstatedPromise(stamped, status, true));
+            CPPUNIT_ASSERT(!isUnstatedPromise(ofHost, status, true));
+            CPPUNIT_ASSERT(isUnstatedPromise(ofHost, status, false));
+        }
+        ofServer.m_notRun = true;
+        CPPUNIT_ASSERT(!isUnstatedPromise(ofServer, 503, true));
+        CPPUNIT_ASSERT(!isUnstatedPromise(stamped, 502, true));
+    }
+
     /// There are requests for more rare models than the servers can swap in, so some can't be
     /// served in time. These must be answered while the caller still listens and has time for
     /// another attempt.
