--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -248,7 +248,7 @@
     Gateway &gateway = *relay.m_gateway;
     const InstanceId &id = source.m_server;
     HttpPool &pool = relay.m_viaHost.m_text.empty() ? gateway.m_servers : gateway.m_hosts;
-    const Millis headTimeout = answerTimeout(*relay.m_route, relay.m_runs,
+    const Millis headTimeout = answerTimeout(*relay.m_route, runsInAll(relay),
                                              relay.m_choice.m_candidates, remainingTime(relay));
     auto head = co_await readAnswerHead(relay, id, *connection, headTimeout);
     if (!ok(head))
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -22,7 +22,7 @@
     if (result.m_outcome != SendOutcome::Failed)
         return true;
     return relay.m_route->m_repeat != Repeat::AtMostOnce
-        && relay.m_runs < relay.m_route->m_maxAttempts;
+        && runsInAll(relay) < relay.m_route->m_maxAttempts;
 }
 
 /// The retry budget of the service, with this host's present share.
@@ -138,13 +138,15 @@
 
 asio::awaitable<void> relayCall(Gateway &gateway, HttpExchange &exchange)
 {
-    return relayCallOf(gateway, exchange, {});
+    return relayCallOf(gateway, exchange, {}, 0);
 }
 
-asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy)
+asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy,
+                                  int runsBefore)
 {
     Relay relay(gateway);
     relay.m_forwardedBy = std::move(forwardedBy);
+    relay.m_runsBefore = runsBefore;
     relay.m_exchange = &exchange;
     relay.m_arrived = now(gateway);
     gateway.m_relays.insert(&relay);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -41,9 +41,10 @@
     ServiceName m_service;
     std::vector<HttpField> m_fields; // header fields to forward, without hop-by-hop fields
     Millis m_arrived;
-    Millis m_deadline; // the earlier of the caller's and the route's time limit
-    int m_sends = 0;   // number of times that it was sent to a server
-    int m_runs = 0;    // sends after which it may have been executed
+    Millis m_deadline;    // the earlier of the caller's and the route's time limit
+    int m_sends = 0;      // number of times that it was sent to a server
+    int m_runs = 0;       // sends after which it may have been executed
+    int m_runsBefore = 0; // the same, at the host that sent it here
     std::set<InstanceId> m_triedServers;
     /// To servers, that it was sent on. It isn't sent on one of them again: a late copy of the
     /// first response would pass for the second.
@@ -101,6 +102,12 @@
     return relay.m_deadline - now(*relay.m_gateway);
 }
 
+/// Servers that may have executed the request, which its route limits.
+inline int runsInAll(const Relay &relay)
+{
+    return relay.m_runsBefore + relay.m_runs;
+}
+
 /// Whether the caller has disconnected, so that nothing more needs to be done for the request.
 inline bool callerDisconnected(const Relay &relay)
 {
@@ -183,9 +190,10 @@
 /// one that is sent through another host, which counts it.
 void countRequest(Relay &relay);
 
-/// Handles one request, up to the end of its answer. `forwardedBy`: host that sent it here; empty:
-/// it came from its caller.
-asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy);
+/// Handles one request, up to the end of its answer. `forwardedBy`: host that sent it here, where
+/// `runsBefore` servers may have executed it; empty: it came from its caller.
+asio::awaitable<void> relayCallOf(Gateway &gateway, HttpExchange &exchange, HostName forwardedBy,
+                                  int runsBefore);
 
 // --- resumption.cpp: streams that callers take up ---
 
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -18,6 +18,8 @@
 
 /// Field of a request between hosts: HOST/VERSION of the configuration in force at that host.
 const char *const forwardField = "Apricot-Forwarded-By";
+/// Field of a request between hosts: servers that may have executed it before.
+const char *const runsField = "Apricot-Runs";
 constexpr int maxHostsAsked = 3; // for one request
 constexpr Millis unreachedHostPause = {1'000};
 /// A host in another data centre is chosen only if it has so many fewer requests of this host.
@@ -91,11 +93,16 @@
     request.m_target = relay.m_exchange->m_request.m_target;
     request.m_fields = relay.m_fields;
     gateway.m_protocol->writeHostForward(request.m_fields, metadata);
-    std::erase_if(request.m_fields, [](const HttpField &field) {
-        return boost::iequals(field.m_name, forwardField); // as a caller may have sent it
+    std::erase_if(request.m_fields, [](const HttpField &field) { // as a caller may have sent them
+        return boost::iequals(field.m_name, forwardField)
+            || boost::iequals(field.m_name, runsField);
     });
     addField(request.m_fields, forwardField,
              gateway.m_settings.m_host.m_text + "/" + std::to_string(relay.m_routes->m_version));
+    if (relay.m_runs > 0) { // a host of an older build removes what Connection names
+        addField(request.m_fields, runsField, std::to_string(relay.m_runs));
+        addField(request.m_fields, "Connection", runsField);
+    }
     return request;
 }
 
@@ -123,6 +130,17 @@
     return origin;
 }
 
+/// Reads and removes the number of servers that may have executed the request before; 0 if the
+/// field is missing or malformed.
+int takeRunsBefore(std::vector<HttpField> &fields)
+{
+    const std::string text = fieldOf(fields, runsField);
+    std::erase_if(fields, [](const HttpField &field) { return field.m_name == runsField; });
+    std::uint16_t runs = 0;
+    std::from_chars(text.data(), text.data() + text.size(), runs);
+    return runs;
+}
+
 /// Why a request of another host isn't handled; empty: it is.
 std::string refusalOf(const Gateway &gateway, const std::optional<ForwardOrigin> &origin,
                       const std::string &ip)
@@ -251,10 +269,11 @@
 asio::awaitable<void> relayForwardedCall(Gateway &gateway, HttpExchange &exchange)
 {
     const auto origin = takeForwardOrigin(exchange.m_request.m_fields);
+    const int runsBefore = takeRunsBefore(exchange.m_request.m_fields);
     const std::string ip = remoteEndpoint(exchange).m_ip;
     const std::string why = refusalOf(gateway, origin, ip);
     if (why.empty())
-        co_return co_await relayCallOf(gateway, exchange, origin->m_host);
+        co_return co_await relayCallOf(gateway, exchange, origin->m_host, runsBefore);
     logWarning("forward_refused",
                {{"host", origin ? origin->m_host.m_text : ""}, {"ip", ip}, {"why", why}});
     countAnswer(gateway.m_metrics, ErrorKind::ReachedElsewhere);
