--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -289,10 +289,11 @@
     response.m_head = got;
     response.m_body = std::get<std::string>(std::move(body));
     releaseHttpConnection(pool, source.m_endpoint, connection);
-    if (isUnstatedPromise(metadata, got.m_status, !relay.m_viaHost.m_text.empty()))
+    const bool viaHost = !relay.m_viaHost.m_text.empty();
+    if (viaHost && !relay.m_headSent)
+        co_return co_await passHostAnswer(relay, metadata, std::move(response));
+    if (isUnstatedPromise(metadata, got.m_status, viaHost))
         co_return failUnstated(relay, id, got.m_status);
-    if (!relay.m_viaHost.m_text.empty() && !relay.m_headSent)
-        co_return co_await passHostAnswer(relay, std::move(response));
     if (metadata.m_notRun) {
         recordRefusal(relay, id, metadata);
         relay.m_refusedBy.insert(id);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -181,8 +181,9 @@
 asio::awaitable<SendResult> sendViaHost(Relay &relay, const HostName &host);
 
 /// Handles the complete answer of the other host: passes it on, unless that host could not have the
-/// request executed.
-asio::awaitable<SendResult> passHostAnswer(Relay &relay, HttpResponse response);
+/// request executed. A promise that may be false is replaced.
+asio::awaitable<SendResult> passHostAnswer(Relay &relay, const AnswerMetadata &metadata,
+                                           HttpResponse response);
 
 // --- relay.cpp ---
 
--- a/src/request/viahost.cpp
+++ b/src/request/viahost.cpp
@@ -233,7 +233,8 @@
     co_return result;
 }
 
-asio::awaitable<SendResult> passHostAnswer(Relay &relay, HttpResponse response)
+asio::awaitable<SendResult> passHostAnswer(Relay &relay, const AnswerMetadata &metadata,
+                                           HttpResponse response)
 {
     const unsigned status = response.m_head.m_status;
     const std::string &host = relay.m_viaHost.m_text;
@@ -249,8 +250,9 @@
                                          shortRetryAfter)};
     }
     const bool statesNotRun = promisesNotRun(status);
-    if (statesNotRun && relay.m_runs > 0) {
-        co_await refuse(relay, makeFailure(ErrorKind::BackendRefused, "refused by " + host));
+    if (statesNotRun && (relay.m_runs > 0 || isUnstatedPromise(metadata, status, true))) {
+        // Not retried: that host has tried as many servers as the route allows.
+        co_await refuse(relay, makeFailure(ErrorKind::BackendBroken, "refused by " + host));
         co_return SendResult{};
     }
     removeHopByHopFields(response.m_head.m_fields);
