--- a/src/gateway.h
+++ b/src/gateway.h
@@ -211,6 +211,7 @@
 /// Limits retries to a fixed number plus a share of the requests within a sliding window.
 struct RetryBudget
 {
+    Millis m_opensAt;              // no retry before this time
     double m_ratio = 0.1;          // retries allowed for each request
     double m_slack = 5;            // retries allowed in addition
     Millis m_window = {10'000};    // ms, length of the sliding window
@@ -223,7 +224,13 @@
 /// Sets one host's share of the budget that all hosts have together. Each host spends up to its own
 /// limit, which follows its own requests; their sum would exceed the common limit by chance, so a
 /// part is left unused.
-void setHostShare(RetryBudget &budget, const GatewaySettings &settings, int hosts);
+///
+/// A host that has started doesn't know what it spent before the start, or what the other hosts
+/// spent that had its share until then. So it spends nothing until a whole window has passed since
+/// `started`.
+/// \param hosts  number of hosts that share the budget; 0: not known yet, so that the share of the
+///               fixed number is zero
+void setHostShare(RetryBudget &budget, const GatewaySettings &settings, int hosts, Millis started);
 
 /// Counts a request, which raises the number of retries that the budget allows.
 void recordRequest(RetryBudget &budget, Millis time);
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -288,6 +288,7 @@
         failure = bindUdp(gateway);
     if (failure)
         return failure;
+    gateway.m_startedAt = now(gateway);
     begin(gateway, "configuration", syncObjects(gateway, ObjectKind::Configuration));
     begin(gateway, "servers", syncServers(gateway));
     begin(gateway, "resynchronize", resyncStore(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -328,7 +328,9 @@
     std::map<std::string, RunTimes> m_runTimes;           // by name of the route
     std::map<ModelDemandKey, LocalDemand> m_modelDemands; // demand of this host's callers
 
+    Millis m_startedAt;               // when the loops were started
     std::map<HostName, Peer> m_peers; // other hosts in the register
+    bool m_registerRead = false;      // the register was read completely at least once
     std::unique_ptr<asio::ip::udp::socket> m_udp;
     HostName m_holder;          // host that last stated that it holds the lease; empty: none
     Millis m_holderHeartbeatAt; // when m_holder last stated that
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -274,6 +274,8 @@
         }
         if (!page->m_more || page->m_objects.empty()) {
             dropUnlisted(gateway, kind, listed);
+            if (kind == ObjectKind::Hosts)
+                gateway.m_registerRead = true;
             if (kind == ObjectKind::Servers) {
                 gateway.m_serverTableLoaded = true;
                 gateway.m_serverTable.m_revision = page->m_revision;
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -215,11 +215,12 @@
     known.m_avoidUntil = time + avoidance;
 }
 
-void setHostShare(RetryBudget &budget, const GatewaySettings &settings, int hosts)
+void setHostShare(RetryBudget &budget, const GatewaySettings &settings, int hosts, Millis started)
 {
     constexpr double usedShare = 0.9; // of the common limit
+    budget.m_opensAt = started + settings.m_retryWindow;
     budget.m_ratio = usedShare * settings.m_retryRatio;
-    budget.m_slack = usedShare * settings.m_retrySlack / hosts;
+    budget.m_slack = hosts > 0 ? usedShare * settings.m_retrySlack / hosts : 0;
     budget.m_window = settings.m_retryWindow;
 }
 
@@ -231,6 +232,8 @@
 
 bool takeRetry(RetryBudget &budget, Millis time)
 {
+    if (time < budget.m_opensAt)
+        return false;
     dropBefore(budget.m_requests, time - budget.m_window);
     dropBefore(budget.m_retries, time - budget.m_window);
     const double allowed
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -30,7 +30,8 @@
 {
     Gateway &gateway = *relay.m_gateway;
     RetryBudget &budget = gateway.m_retryBudgets[relay.m_service];
-    setHostShare(budget, gateway.m_settings, hostCount(gateway));
+    const int hosts = gateway.m_registerRead ? hostCount(gateway) : 0;
+    setHostShare(budget, gateway.m_settings, hosts, gateway.m_startedAt);
     return budget;
 }
 
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(retryBudgetExpiresAfterItsWindow);
     CPPUNIT_TEST(hostsTogetherKeepToTheRetryBudget);
+    CPPUNIT_TEST(hostsThatStartAgainKeepToTheRetryBudget);
     CPPUNIT_TEST(onlyCompleteEventsPassForAnySplitOfTheBytes);
     CPPUNIT_TEST(statusUpdateOverridesTheEntryUntilALaterChange);
     CPPUNIT_TEST(restartDiscardsTheEarlierStatus);
@@ -327,7 +328,7 @@
         for (Millis time; time < length; time = time + step) {
             for (int number = 0; number < requestsPerStep; ++number) {
                 RetryBudget &budget = budgets[random() % hosts];
-                setHostShare(budget, settings, hosts);
+                setHostShare(budget, settings, hosts, Millis{0} - settings.m_retryWindow);
                 recordRequest(budget, time);
                 requests.push_back(time);
                 if (time >= troubleStart && takeRetry(budgets[random() % hosts], time))
@@ -342,6 +343,59 @@
         }
     }
 
+    /// Guards against a host that has its whole share again at each start: of nine hosts, one is
+    /// killed and started every two seconds while all servers refuse, and knows the other hosts
+    /// only some time after its start.
+    void hostsThatStartAgainKeepToTheRetryBudget()
+    {
+        constexpr std::size_t hosts = 9;
+        constexpr Millis step = {10}; // between requests
+        constexpr Millis length = {60'000};
+        constexpr Millis troubleStart = {15'000};
+        constexpr Millis restartInterval = {2'000};
+        constexpr Millis registerDelay = {12'000}; // after a start
+        GatewaySettings settings;
+        settings.m_retryRatio = 0.2;
+        settings.m_retrySlack = 58;
+        std::vector<RetryBudget> budgets(hosts);
+        std::vector<Millis> started(hosts, Millis{0} - settings.m_retryWindow);
+        std::deque<Millis> requests;
+        std::deque<Millis> retries;
+        std::size_t restarts = 0;
+        std::mt19937_64 random(1);
+        const auto budgetAt = [&](Millis time) -> RetryBudget & {
+            const std::size_t host = random() % hosts;
+            const bool knowsHosts = time >= started[host] + registerDelay;
+            setHostShare(budgets[host], settings, knowsHosts ? hosts : 0, started[host]);
+            return budgets[host];
+        };
+        const auto dropOld = [&](std::deque<Millis> &times, Millis time) {
+            while (!times.empty() && times.front() < time - settings.m_retryWindow)
+                times.pop_front();
+        };
+        for (Millis time; time < length; time = time + step) {
+            if (time > troubleStart && time.m_count % restartInterval.m_count == 0) {
+                const std::size_t host = restarts++ % hosts;
+                budgets[host] = {};
+                started[host] = time;
+            }
+            recordRequest(budgetAt(time), time);
+            requests.push_back(time);
+            for (int attempt = 0; attempt < 3 && time >= troubleStart; ++attempt) {
+                if (takeRetry(budgetAt(time), time))
+                    retries.push_back(time);
+            }
+            dropOld(requests, time);
+            dropOld(retries, time);
+            const double allowed = settings.m_retryRatio * static_cast<double>(requests.size())
+                + settings.m_retrySlack;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::to_string(time.m_count), std::size_t{0},
+                static_cast<double>(retries.size()) > allowed ? retries.size() : 0);
+        }
+        CPPUNIT_ASSERT(!retries.empty());
+    }
+
     /// Guards against a budget that stays used up: retries must stop counting when they leave the
     /// window.
     void retryBudgetExpiresAfterItsWindow()
