--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -252,6 +252,9 @@
     kill(process.m_pid, signal);
     if (signal == SIGKILL)
         waitExit(process);
+    int status = 0;
+    if (signal == SIGSTOP) // until its threads have stopped, they go on taking requests
+        waitpid(process.m_pid, &status, WUNTRACED);
 }
 
 int waitExit(Process &process)
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -69,7 +69,8 @@
 /// Starts the process with its m_command; its output is appended to NAME.log in the fleet's folder.
 void startProcess(Process &process, const Fleet &fleet);
 
-/// Sends the signal, and with SIGKILL waits for the end of the process.
+/// Sends the signal. With SIGKILL waits for the end of the process, with SIGSTOP until it stands
+/// still.
 void signalProcess(Process &process, int signal);
 
 /// Waits for the process to end. Returns its exit code, or the negated number of the signal that
