--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -223,6 +223,15 @@
         && decayedRate(demand, time) < minDemandRate;
 }
 
+HttpPool makeConnectionPool(Gateway &gateway)
+{
+    HttpPool pool;
+    pool.m_io = &gateway.m_io;
+    pool.m_ackTimeout = serverAckTimeout;
+    pool.m_maxIdleTime = serverConnectionIdleTime;
+    return pool;
+}
+
 std::unique_ptr<Gateway> makeGateway(const GatewaySettings &settings, std::string settingsPath,
                                      const Protocol &protocol)
 {
@@ -235,15 +244,8 @@
     gateway->m_run = toHex(gateway->m_random());
     gateway->m_store.m_io = &gateway->m_io;
     gateway->m_store.m_ackTimeout = storeAckTimeout;
-    gateway->m_servers.m_io = &gateway->m_io;
-    gateway->m_servers.m_ackTimeout = serverAckTimeout;
-    gateway->m_servers.m_maxIdleTime = serverConnectionIdleTime;
-    gateway->m_commands.m_io = &gateway->m_io;
-    gateway->m_commands.m_ackTimeout = serverAckTimeout;
-    gateway->m_commands.m_maxIdleTime = serverConnectionIdleTime;
-    gateway->m_hosts.m_io = &gateway->m_io;
-    gateway->m_hosts.m_ackTimeout = serverAckTimeout;
-    gateway->m_hosts.m_maxIdleTime = serverConnectionIdleTime;
+    gateway->m_servers = makeConnectionPool(*gateway);
+    gateway->m_hosts = makeConnectionPool(*gateway);
     gateway->m_callerOptions = std::make_shared<HttpServerOptions>();
     gateway->m_callerOptions->m_makeErrorResponse = refuseMalformed;
     gateway->m_hostOptions = std::make_shared<HttpServerOptions>(*gateway->m_callerOptions);
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -301,11 +301,7 @@
 
     HttpPool m_store;   // connections to the platform's store
     HttpPool m_servers; // connections to backend servers, for callers' requests only
-    /// Connections to backend servers, for orders and reports. Their answers have no request id, so
-    /// a late copy of one can't be told from the answer to a caller's request on the same
-    /// connection.
-    HttpPool m_commands;
-    HttpPool m_hosts; // connections to other hosts
+    HttpPool m_hosts;   // connections to other hosts
     PathWatch m_paths;
     BodyBudget m_answerBytes; // answers read completely before they are passed on
     StoreHealth m_storeHealth;
@@ -379,6 +375,9 @@
 std::unique_ptr<Gateway> makeGateway(const GatewaySettings &settings, std::string settingsPath,
                                      const Protocol &protocol);
 
+/// Returns an empty pool for connections to backend servers or other hosts.
+HttpPool makeConnectionPool(Gateway &gateway);
+
 /// Opens all listeners and starts all loops; the caller then runs m_io. Returns a failure if an
 /// address is already in use.
 std::optional<Failure> startGateway(Gateway &gateway);
--- a/src/process/ordertracking.cpp
+++ b/src/process/ordertracking.cpp
@@ -4,6 +4,10 @@
 // Every order carries the number of orders that the server had accepted when the plan was made. The
 // server executes an order only if that number still matches, so an order that arrives late or
 // twice can neither exceed the server's memory nor undo a newer order.
+//
+// Answers to orders and reports have no request id, and a server may send an answer once more,
+// late, where the next one on the connection is due. So each order and each series of reports has
+// connections of its own.
 #include "process/ordertracking.h"
 #include "process/log.h"
 
@@ -21,6 +25,20 @@
 constexpr Millis unloadTimeLimit = {4'000};  // ms for an unload that waits for running requests
 constexpr Millis resendTimeLimit = {2'000};  // ms beyond the expected load time; then use reports
 
+/// An order, and connections that are used only to send and repeat it. A late copy of an answer to
+/// the same order does no harm: after 409 or 202 the order is sent again, and 200 stays true.
+struct SentOrder
+{
+    EngineCommand m_command;
+    Endpoint m_endpoint;
+    HttpPool m_connections;
+};
+
+SentOrder makeOrder(Gateway &gateway, EngineCommand command, const Endpoint &endpoint)
+{
+    return {std::move(command), endpoint, makeConnectionPool(gateway)};
+}
+
 /// Finds a tracked server for work that began under the lease with that fencing token. Returns null
 /// also if this host has lost that lease since, as the placement state then belongs to another
 /// lease.
@@ -29,11 +47,12 @@
     return gateway.m_lease.m_fencingToken == fencingToken ? findTracked(gateway, id) : nullptr;
 }
 
-asio::awaitable<Result<ServerStatus>> fetchServerStatus(Gateway &gateway, Endpoint endpoint)
+asio::awaitable<Result<ServerStatus>> fetchServerStatus(Gateway &gateway, HttpPool &connections,
+                                                        Endpoint endpoint)
 {
     HttpRequest request = gateway.m_protocol->makeReportRequest();
     const auto response
-        = co_await fetchHttp(gateway.m_commands, endpoint, std::move(request), reportTimeout);
+        = co_await fetchHttp(connections, endpoint, std::move(request), reportTimeout);
     if (!ok(response))
         co_return std::get<Failure>(response);
     co_return gateway.m_protocol->readReport(std::get<HttpResponse>(response));
@@ -75,18 +94,18 @@
 
 /// Sends an order once. The outcome is Refused also if the order was not sent, because no
 /// connection could be opened or the lease has expired.
-asio::awaitable<CommandOutcome> sendCommand(Gateway &gateway, const EngineCommand &command,
-                                            Endpoint endpoint)
+asio::awaitable<CommandOutcome> sendOrder(Gateway &gateway, SentOrder &order)
 {
-    HttpRequest request = gateway.m_protocol->writeCommand(command, gateway.m_settings.m_host,
-                                                           gateway.m_lease.m_fencingToken);
-    auto opened = co_await openHttpConnection(gateway.m_commands, endpoint, orderTimeout, false);
+    HttpRequest request = gateway.m_protocol->writeCommand(
+        order.m_command, gateway.m_settings.m_host, gateway.m_lease.m_fencingToken);
+    auto opened
+        = co_await openHttpConnection(order.m_connections, order.m_endpoint, orderTimeout, false);
     // While the connection was opened, the lease may have expired, or this machine may have been
     // suspended.
     if (!ok(opened) || !holdsLease(gateway))
         co_return CommandOutcome::Refused;
     const HttpConnectionPtr connection = std::get<HttpConnectionPtr>(opened);
-    if (co_await sendRequest(*connection, endpoint, request, orderTimeout))
+    if (co_await sendRequest(*connection, order.m_endpoint, request, orderTimeout))
         co_return CommandOutcome::Unknown;
     const auto head = co_await readHead(*connection, orderTimeout);
     if (!ok(head))
@@ -97,7 +116,7 @@
     response.m_head = std::get<HttpHead>(head);
     if (ok(body)) {
         response.m_body = std::get<std::string>(std::move(body));
-        releaseHttpConnection(gateway.m_commands, endpoint, connection);
+        releaseHttpConnection(order.m_connections, order.m_endpoint, connection);
     }
     co_return gateway.m_protocol->readCommandReply(response);
 }
@@ -134,7 +153,8 @@
 {
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
     co_await pauseFor(gateway, reportLag);
-    const auto read = co_await fetchServerStatus(gateway, endpoint);
+    HttpPool connections = makeConnectionPool(gateway);
+    const auto read = co_await fetchServerStatus(gateway, connections, endpoint);
     TrackedServer *server = findTracked(gateway, id, fencingToken);
     if (!ok(read) || !server)
         co_return;
@@ -148,15 +168,14 @@
 /// Repeats an order until the server's answer is none of `waitFor`, which detects completion some
 /// hundred ms earlier than reports would. Thanks to the sequence number a repetition is never
 /// executed as a new order.
-asio::awaitable<CommandOutcome> resendCommand(Gateway &gateway, EngineCommand command,
-                                              Endpoint endpoint, std::set<CommandOutcome> waitFor,
-                                              Millis atMost)
+asio::awaitable<CommandOutcome> resendOrder(Gateway &gateway, SentOrder &order,
+                                            std::set<CommandOutcome> waitFor, Millis atMost)
 {
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
     const Millis end = now(gateway) + atMost;
     while (holdsLease(gateway) && gateway.m_lease.m_fencingToken == fencingToken
            && now(gateway) < end) {
-        const CommandOutcome outcome = co_await sendCommand(gateway, command, endpoint);
+        const CommandOutcome outcome = co_await sendOrder(gateway, order);
         if (!waitFor.contains(outcome))
             co_return outcome;
         co_await pauseFor(gateway, resendInterval);
@@ -176,13 +195,13 @@
 
 /// Waits until an accepted load is complete. Returns false if that couldn't be confirmed, so that
 /// reports have to be read.
-asio::awaitable<bool> awaitLoad(Gateway &gateway, EngineCommand command, Endpoint endpoint,
-                                Millis expected)
+asio::awaitable<bool> awaitLoad(Gateway &gateway, SentOrder &order, Millis expected)
 {
+    const EngineCommand &command = order.m_command;
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
     co_await pauseFor(gateway, expected);
     const CommandOutcome outcome
-        = co_await resendCommand(gateway, command, endpoint, inProgressOutcomes(), resendTimeLimit);
+        = co_await resendOrder(gateway, order, inProgressOutcomes(), resendTimeLimit);
     TrackedServer *server = findTracked(gateway, command.m_server, fencingToken);
     if (outcome != CommandOutcome::Holds || !server)
         co_return false;
@@ -192,7 +211,8 @@
     server->m_confirmedAt = now(gateway);
     server->m_taskRunning = false;
     broadcastStatusUpdate(gateway, command.m_server, server->m_serverStatus);
-    begin(gateway, "refresh_local_copies", refreshLocalCopies(gateway, command.m_server, endpoint));
+    begin(gateway, "refresh_local_copies",
+          refreshLocalCopies(gateway, command.m_server, order.m_endpoint));
     wake(*gateway.m_planTrigger);
     co_return true;
 }
@@ -266,12 +286,13 @@
 
 /// Orders the load of a swap as soon as the server has completed the unload. Returns true if the
 /// load was accepted.
-asio::awaitable<bool> startSwapLoad(Gateway &gateway, EngineCommand load, Endpoint endpoint)
+asio::awaitable<bool> startSwapLoad(Gateway &gateway, SentOrder &order)
 {
+    const EngineCommand &load = order.m_command;
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
     co_await pauseFor(gateway, expectedUnloadTime);
     const CommandOutcome outcome
-        = co_await resendCommand(gateway, load, endpoint, busyOutcomes(), unloadTimeLimit);
+        = co_await resendOrder(gateway, order, busyOutcomes(), unloadTimeLimit);
     logOrder(gateway, load, outcome);
     const bool accepted = outcome == CommandOutcome::Accepted;
     countOrder(gateway.m_metrics, OrderKind::Load, accepted);
@@ -286,29 +307,30 @@
 }
 
 /// Tracks an accepted order until it is complete; for a swap, that includes the load.
-asio::awaitable<void> trackAcceptedOrder(Gateway &gateway, EngineCommand command,
-                                         BackendServer target)
+asio::awaitable<void> trackAcceptedOrder(Gateway &gateway, SentOrder order, ServiceName service)
 {
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
-    const Endpoint endpoint = target.m_endpoint;
-    TrackedServer *server = findTracked(gateway, command.m_server, fencingToken);
-    recordAcceptedOrder(gateway, *server, command);
-    const auto next = loadAfterUnload(gateway, command, server->m_serverStatus, target.m_service);
-    if (next && co_await startSwapLoad(gateway, *next, endpoint))
-        command = *next;
-    server = findTracked(gateway, command.m_server, fencingToken);
+    const InstanceId id = order.m_command.m_server;
+    TrackedServer *server = findTracked(gateway, id, fencingToken);
+    recordAcceptedOrder(gateway, *server, order.m_command);
+    if (auto next = loadAfterUnload(gateway, order.m_command, server->m_serverStatus, service)) {
+        SentOrder load = makeOrder(gateway, *std::move(next), order.m_endpoint);
+        if (co_await startSwapLoad(gateway, load))
+            order = std::move(load);
+    }
+    server = findTracked(gateway, id, fencingToken);
     if (!server)
         co_return;
-    const bool load = command.m_kind == CommandKind::Load;
-    const Millis wait = expectedTime(gateway, command, server->m_serverStatus, target.m_service);
-    command.m_sequence = server->m_serverStatus.m_sequence;
-    if (!load || !co_await awaitLoad(gateway, command, endpoint, wait))
-        co_await confirmServerStatus(gateway, command.m_server, endpoint,
+    const bool load = order.m_command.m_kind == CommandKind::Load;
+    const Millis wait = expectedTime(gateway, order.m_command, server->m_serverStatus, service);
+    order.m_command.m_sequence = server->m_serverStatus.m_sequence;
+    if (!load || !co_await awaitLoad(gateway, order, wait))
+        co_await confirmServerStatus(gateway, id, order.m_endpoint,
                                      load ? Millis{0} : reportPollInterval);
-    server = findTracked(gateway, command.m_server, fencingToken);
+    server = findTracked(gateway, id, fencingToken);
     if (server && load) {
         server->m_pendingModel = {};
-        server->m_loadedAt[command.m_model] = now(gateway);
+        server->m_loadedAt[order.m_command.m_model] = now(gateway);
     }
 }
 
@@ -319,10 +341,11 @@
 {
     const Millis began = now(gateway);
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
+    HttpPool connections = makeConnectionPool(gateway);
     bool warned = false;
     co_await pauseFor(gateway, firstWait);
     while (holdsLease(gateway) && gateway.m_lease.m_fencingToken == fencingToken) {
-        const auto read = co_await fetchServerStatus(gateway, endpoint);
+        const auto read = co_await fetchServerStatus(gateway, connections, endpoint);
         TrackedServer *server = findTracked(gateway, id, fencingToken);
         if (!server)
             co_return;
@@ -351,8 +374,8 @@
 asio::awaitable<void> executeOrder(Gateway &gateway, EngineCommand command, BackendServer target)
 {
     const std::uint64_t fencingToken = gateway.m_lease.m_fencingToken;
-    const Endpoint endpoint = target.m_endpoint;
-    const CommandOutcome outcome = co_await sendCommand(gateway, command, endpoint);
+    SentOrder order = makeOrder(gateway, command, target.m_endpoint);
+    const CommandOutcome outcome = co_await sendOrder(gateway, order);
     logOrder(gateway, command, outcome);
     TrackedServer *server = findTracked(gateway, command.m_server, fencingToken);
     if (!server)
@@ -367,7 +390,7 @@
         co_return;
     }
     if (outcome == CommandOutcome::Accepted) {
-        co_await trackAcceptedOrder(gateway, command, target);
+        co_await trackAcceptedOrder(gateway, std::move(order), target.m_service);
         co_return;
     }
     // The order may have been executed, or the known status is wrong: read a report before the next
@@ -377,7 +400,7 @@
         server->m_pendingModel = {};
     if (outcome == CommandOutcome::Fenced)
         loseLease(gateway, "fenced");
-    co_await confirmServerStatus(gateway, command.m_server, endpoint, reportLag);
+    co_await confirmServerStatus(gateway, command.m_server, target.m_endpoint, reportLag);
 }
 
 asio::awaitable<void> executeStoreLoad(Gateway &gateway, EngineCommand command,
--- a/src/process/pathwatch.cpp
+++ b/src/process/pathwatch.cpp
@@ -154,7 +154,6 @@
         return;
     // Connections of before may have died in silence.
     gateway.m_servers.m_idle.erase(known.m_server.m_endpoint);
-    gateway.m_commands.m_idle.erase(known.m_server.m_endpoint);
     countChange(gateway.m_paths, gateway.m_paths.m_regained, known);
 }
 
