--- a/src/gateway.h
+++ b/src/gateway.h
@@ -232,6 +232,17 @@
 ///               fixed number is zero
 void setHostShare(RetryBudget &budget, const GatewaySettings &settings, int hosts, Millis started);
 
+/// Numbers of hosts that share the retry budget, over time.
+struct HostCounts
+{
+    std::deque<std::pair<Millis, int>> m_since; // oldest first: since when there were so many
+};
+
+/// Notes the present number of hosts and returns the largest one within the window. The shares must
+/// follow that number: a host that left spent its share until then, and spends it on while it
+/// stops.
+int largestHostCount(HostCounts &counts, int hosts, Millis time, Millis window);
+
 /// Counts a request, which raises the number of retries that the budget allows.
 void recordRequest(RetryBudget &budget, Millis time);
 
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -325,6 +325,7 @@
     bool m_catchingUp = false; // a coroutine reads changes that another host reported first
     Millis m_lastResyncAt;     // when any host last resynchronized with the store
     std::map<ServiceName, RetryBudget> m_retryBudgets;
+    HostCounts m_hostCounts;                              // noted with each request
     std::map<std::string, RunTimes> m_runTimes;           // by name of the route
     std::map<ModelDemandKey, LocalDemand> m_modelDemands; // demand of this host's callers
 
--- a/src/request/choice.cpp
+++ b/src/request/choice.cpp
@@ -224,6 +224,19 @@
     budget.m_window = settings.m_retryWindow;
 }
 
+int largestHostCount(HostCounts &counts, int hosts, Millis time, Millis window)
+{
+    auto &since = counts.m_since;
+    if (since.empty() || since.back().second != hosts)
+        since.emplace_back(time, hosts);
+    while (since.size() > 1 && since[1].first < time - window)
+        since.pop_front();
+    const auto largest
+        = std::max_element(since.begin(), since.end(),
+                           [](const auto &a, const auto &b) { return a.second < b.second; });
+    return largest->second;
+}
+
 void recordRequest(RetryBudget &budget, Millis time)
 {
     dropBefore(budget.m_requests, time - budget.m_window);
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -30,7 +30,10 @@
 {
     Gateway &gateway = *relay.m_gateway;
     RetryBudget &budget = gateway.m_retryBudgets[relay.m_service];
-    const int hosts = gateway.m_registerRead ? hostCount(gateway) : 0;
+    const int hosts = gateway.m_registerRead
+        ? largestHostCount(gateway.m_hostCounts, hostCount(gateway), now(gateway),
+                           gateway.m_settings.m_retryWindow)
+        : 0;
     setHostShare(budget, gateway.m_settings, hosts, gateway.m_startedAt);
     return budget;
 }
--- a/tests/unit/gatewayrequests.cpp
+++ b/tests/unit/gatewayrequests.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(retryBudgetExpiresAfterItsWindow);
     CPPUNIT_TEST(hostsTogetherKeepToTheRetryBudget);
     CPPUNIT_TEST(hostsThatStartAgainKeepToTheRetryBudget);
+    CPPUNIT_TEST(shareOfAHostThatLeftStaysItsOwnForAWindow);
     CPPUNIT_TEST(onlyCompleteEventsPassForAnySplitOfTheBytes);
     CPPUNIT_TEST(statusUpdateOverridesTheEntryUntilALaterChange);
     CPPUNIT_TEST(restartDiscardsTheEarlierStatus);
@@ -396,6 +397,23 @@
         CPPUNIT_ASSERT(!retries.empty());
     }
 
+    /// Guards against shares that grow as soon as a host leaves, or that never grow.
+    void shareOfAHostThatLeftStaysItsOwnForAWindow()
+    {
+        constexpr Millis window = {10'000};
+        HostCounts counts;
+        const auto largest
+            = [&](int hosts, Millis time) { return largestHostCount(counts, hosts, time, window); };
+        CPPUNIT_ASSERT_EQUAL(9, largest(9, start));
+        CPPUNIT_ASSERT_EQUAL(9, largest(8, start + Millis{20'000}));
+        CPPUNIT_ASSERT_EQUAL(9, largest(7, start + Millis{25'000}));
+        CPPUNIT_ASSERT_EQUAL(9, largest(7, start + Millis{30'000}));
+        CPPUNIT_ASSERT_EQUAL(8, largest(7, start + Millis{30'001}));
+        CPPUNIT_ASSERT_EQUAL(8, largest(7, start + Millis{35'000}));
+        CPPUNIT_ASSERT_EQUAL(7, largest(7, start + Millis{35'001}));
+        CPPUNIT_ASSERT_EQUAL(12, largest(12, start + Millis{35'002})); // others have their shares
+    }
+
     /// Guards against a budget that stays used up: retries must stop counting when they leave the
     /// window.
     void retryBudgetExpiresAfterItsWindow()
