FLEET_FIRST_PORT moves the ports of the process tests

Cause: all test programs look for free ports from 21,000 on. Two that start together may draw the same ones, and a host that is down for a moment may lose its port to another fleet.

Ruled out: random ports; they would move, and not end, the collisions.

Change: the environment variable sets the first port; unset, nothing changes.

--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -20,10 +20,19 @@
 
 constexpr Millis startTimeout = {15'000};
 
+/// The port after which free ones are looked for: FLEET_FIRST_PORT, if set, so that fleets of
+/// several test programs can run beside each other.
+std::uint16_t firstPort()
+{
+    constexpr std::uint16_t usualPort = 21'000;
+    const char *text = std::getenv("FLEET_FIRST_PORT");
+    return text ? static_cast<std::uint16_t>(std::stoi(text)) : usualPort;
+}
+
 /// The next port that is free for both TCP and UDP; a port isn't given out twice.
 std::uint16_t freePort()
 {
-    static std::uint16_t next = 21'000;
+    static std::uint16_t next = firstPort();
     boost::asio::io_context io;
     while (true) {
         const boost::asio::ip::tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"), ++next);
