--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -208,9 +208,10 @@
 
 /// Whether the response is a late copy of the one to an earlier request, after which the answer to
 /// the request just sent is still to come.
-bool isLateCopy(const Relay &relay, const AnswerMetadata &metadata)
+bool isLateCopy(const Relay &relay, const HttpConnection &connection,
+                const AnswerMetadata &metadata)
 {
-    return relay.m_answer.m_sentOn.m_requests > 1 && !metadata.m_id.empty()
+    return useOf(connection).m_requests > 1 && wasSentWhole(connection) && !metadata.m_id.empty()
         && metadata.m_id != relay.m_metadata.m_id;
 }
 
@@ -225,7 +226,7 @@
         if (!ok(head) || copies == maxLateCopies)
             co_return head;
         const auto metadata = gateway.m_protocol->readAnswer(std::get<HttpHead>(head));
-        if (!isLateCopy(relay, metadata))
+        if (!isLateCopy(relay, connection, metadata))
             co_return head;
         logEvent("late_copy",
                  {{"id", relay.m_metadata.m_id},
@@ -248,7 +249,7 @@
     Gateway &gateway = *relay.m_gateway;
     const InstanceId &id = source.m_server;
     HttpPool &pool = relay.m_viaHost.m_text.empty() ? gateway.m_servers : gateway.m_hosts;
-    const Millis headTimeout = answerTimeout(*relay.m_route, relay.m_runs,
+    const Millis headTimeout = answerTimeout(*relay.m_route, runsInAll(relay),
                                              relay.m_choice.m_candidates, remainingTime(relay));
     auto head = co_await readAnswerHead(relay, id, *connection, headTimeout);
     if (!ok(head))
@@ -289,11 +290,11 @@
     response.m_head = got;
     response.m_body = std::get<std::string>(std::move(body));
     releaseHttpConnection(pool, source.m_endpoint, connection);
-    const bool isOfServer = relay.m_viaHost.m_text.empty() || metadata.m_serverStamped;
-    if (isOfServer && promisesNotRun(got.m_status) && !metadata.m_notRun)
+    const bool viaHost = !relay.m_viaHost.m_text.empty();
+    if (viaHost && !relay.m_headSent)
+        co_return co_await passHostAnswer(relay, metadata, std::move(response));
+    if (isUnstatedPromise(metadata, got.m_status, viaHost))
         co_return failUnstated(relay, id, got.m_status);
-    if (!relay.m_viaHost.m_text.empty() && !relay.m_headSent)
-        co_return co_await passHostAnswer(relay, std::move(response));
     if (metadata.m_notRun) {
         recordRefusal(relay, id, metadata);
         relay.m_refusedBy.insert(id);
