--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -184,14 +184,12 @@
     return request;
 }
 
-/// Whether the response is the one to the request just sent. A server may send an earlier response
-/// once more, so a response that bears no id is believed only where no other request came before.
-/// Another host answers each request once; its refusals bear no id.
+/// Whether the response is the one to the request just sent. Servers repeat the request id; another
+/// host answers each request once, and its refusals bear no id.
 bool isAnswerToThisSend(const Relay &relay, const AnswerMetadata &metadata)
 {
-    if (!metadata.m_id.empty())
-        return metadata.m_id == relay.m_metadata.m_id;
-    return !relay.m_viaHost.m_text.empty() || relay.m_answer.m_sentOn.m_requests == 1;
+    const bool viaHost = !relay.m_viaHost.m_text.empty();
+    return metadata.m_id == relay.m_metadata.m_id || (viaHost && metadata.m_id.empty());
 }
 
 /// Result of an answer whose status promises the caller that the request was not executed, though
