Review, case 10: a server that said it leaves gets requests after a drill of the store

Cause: what an answer says of a server that is no longer listed is dropped, so that the entry of an older copy names a server to use.

--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -44,6 +44,10 @@
     /// From now on a waiting watch is cut off after so long, without an answer; 0: never.
     void cutWatchesAfter(long ms);
     long readsOf(const std::string &kind);
+    /// Copies all objects, and comes back from that copy: the revisions go back, the history is
+    /// gone, and the era that all answers state rises by one.
+    void takeCopy();
+    void returnFromCopy();
 
 private:
     struct Object
@@ -62,6 +66,7 @@
 
     bool answer(const Request &request, Connection &connection);
     bool answerWatch(const std::string &kind, long revision, long waitMs, Connection &connection);
+    bool respond(Connection &connection, int status, const std::string &body, long era);
     std::string list(const std::string &kind);
     std::string eventsSince(const std::string &kind, long revision);
     void putLocked(const std::string &kind, const std::string &name, const std::string &spec);
@@ -73,6 +78,9 @@
     std::deque<Change> m_changes;
     std::map<std::string, long> m_reads;
     long m_revision = 1;
+    std::map<std::string, std::map<std::string, Object>> m_copy; // of m_objects
+    long m_copyRevision = 1;
+    std::atomic<long> m_era = 1;
     std::atomic<long> m_cutAfterMs = 0;
     std::unique_ptr<Server> m_server;
 };
