--- a/review/common-2/http.cpp
+++ b/review/common-2/http.cpp
@@ -66,19 +66,23 @@
 
 int freePort()
 {
-    static std::set<int> given;
+    // Below the range from which systems take the ports of outgoing connections, and begun
+    // anywhere, so that programs that run side by side rarely try the same ones.
+    constexpr int first = 10'000;
+    constexpr int count = 22'000;
+    static int next = static_cast<int>(::getpid() * 97L % count);
     while (true) {
+        const int port = first + next;
+        next = (next + 1) % count;
+        const sockaddr_in address = loopback(port);
         const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address = loopback(0);
-        socklen_t size = sizeof address;
-        ::bind(tcp, reinterpret_cast<sockaddr *>(&address), size);
-        ::getsockname(tcp, reinterpret_cast<sockaddr *>(&address), &size);
         const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        const bool free = ::bind(udp, reinterpret_cast<sockaddr *>(&address), size) == 0;
+        const auto *at = reinterpret_cast<const sockaddr *>(&address);
+        const bool free
+            = ::bind(tcp, at, sizeof address) == 0 && ::bind(udp, at, sizeof address) == 0;
         ::close(udp);
         ::close(tcp);
-        const int port = ntohs(address.sin_port);
-        if (free && given.insert(port).second)
+        if (free)
             return port;
     }
 }
--- a/review/common-2/servers.cpp
+++ b/review/common-2/servers.cpp
@@ -153,7 +153,7 @@
 }
 
 ModelServer::ModelServer(Store &store, std::string service, std::string id, std::string version,
-                         int slots)
+                         int slots, bool empty)
     : m_store(store)
 {
     m_entry.m_id = std::move(id);
@@ -161,7 +161,8 @@
     m_entry.m_version = std::move(version);
     m_entry.m_slots = slots;
     m_entry.m_port = freePort();
-    m_entry.m_models = {"m0"};
+    if (!empty)
+        m_entry.m_models = {"m0"};
 }
 
 void ModelServer::start()
@@ -197,12 +198,14 @@
     if (request.m_target == "/v1/order") { // all that is published is loaded already
         const json::object order = json::parse(request.m_body).as_object();
         const bool holds = order.at("operation") == "load" && order.at("model") == "m0"
-            && !order.contains("adapter");
-        return connection.respond(holds ? 200 : 400, {{"Content-Type", "application/json"}}, "{}");
+            && !order.contains("adapter") && !m_entry.m_models.empty();
+        record(m_entry.m_id + " is ordered: " + request.m_body);
+        return connection.respond(holds ? 200 : 409, {{"Content-Type", "application/json"}}, "{}");
     }
     const std::string id = fieldOf(request.m_fields, "Apricotdyke-Request-Id");
     const bool isOther = fieldOf(request.m_fields, "Apricotdyke-Expect-Instance") != m_entry.m_id;
-    const bool isMissing = fieldOf(request.m_fields, "Apricotdyke-Model") != "m0";
+    const bool isMissing
+        = m_entry.m_models.empty() || fieldOf(request.m_fields, "Apricotdyke-Model") != "m0";
     const bool isFull = m_running >= m_entry.m_slots;
     if (isOther || isMissing || isFull)
         return connection.respond(isOther || isMissing ? 421 : 503,
@@ -218,17 +221,14 @@
 
 bool ModelServer::answerReport(Connection &connection)
 {
-    const json::object report
-        = {{"stage", "colocated"},
-           {"models", {json::object{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}}},
-           {"busy", false},
-           {"seq", 0},
-           {"waiting", 0},
-           {"running", m_running.load()},
-           {"kv_used", 0},
-           {"kv_total", 100'000},
-           {"handles", 0},
-           {"born", m_entry.m_born}};
+    json::array models;
+    if (!m_entry.m_models.empty())
+        models.push_back(json::object{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}});
+    const json::object report = {{"stage", "colocated"}, {"models", std::move(models)},
+                                 {"busy", false},        {"seq", 0},
+                                 {"waiting", 0},         {"running", m_running.load()},
+                                 {"kv_used", 0},         {"kv_total", 100'000},
+                                 {"handles", 0},         {"born", m_entry.m_born}};
     return connection.respond(200, {{"Content-Type", "application/json"}}, json::serialize(report));
 }
 
--- a/review/common-2/servers.h
+++ b/review/common-2/servers.h
@@ -60,7 +60,9 @@
 class ModelServer
 {
 public:
-    ModelServer(Store &store, std::string service, std::string id, std::string version, int slots);
+    /// `empty`: it holds no model yet, as one that has just started.
+    ModelServer(Store &store, std::string service, std::string id, std::string version, int slots,
+                bool empty = false);
 
     void start();
     void crash();
