--- a/review/common-2/servers.cpp
+++ b/review/common-2/servers.cpp
@@ -137,6 +137,7 @@
             m_onTurnedAway(*this);
         return sent;
     }
+    record(m_entry.m_id + " runs " + id);
     sleepMs(m_workMs);
     {
         const std::lock_guard lock(m_mutex);
