--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -1,6 +1,6 @@
 // HTTP/1.1 server and client on Boost.Beast. Each accepted connection is served by one coroutine,
 // on the I/O thread that the listener assigned to it.
-#include "connection/httpsession.h"
+#include "connection/httpconnection.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/url.hpp>
@@ -12,27 +12,9 @@
 constexpr std::size_t responseLimit = 8UL * 1024 * 1024;   // bytes of a body, in fetchHttp()
 constexpr std::size_t discardLimit = 64UL * 1024 * 1024;   // bytes; see discardRestOfRequest()
 constexpr std::size_t earlyResponseBodySize = 32UL * 1024; // bytes; see writeRequest()
-constexpr std::uint32_t responseHeadLimit = 16 * 1024;     // bytes of a head, and of trailers
 constexpr std::size_t discardChunkSize = 4UL * 1024;       // bytes
-constexpr int maxInformationalHeads = 8;                   // before the head of one response
 constexpr Millis discardTimeout = {2'000};                 // see discardRestOfRequest()
 
-/// A connection to a server. The parser is replaced for each response.
-struct HttpConnection
-{
-    explicit HttpConnection(asio::io_context &io) : m_stream(io) { }
-
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer{connectionBufferLimit};
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
-    ConnectionUse m_use;
-    bool m_pooled = false;        // was taken from the pool for this exchange
-    bool m_headRequest = false;   // the request was a HEAD request: the response has no body
-    bool m_responseRead = false;  // the response was read to its end
-    bool m_earlyResponse = false; // the server responded or closed before it had read the request
-    std::chrono::steady_clock::time_point m_idleUntil; // valid in the pool
-};
-
 namespace {
 
 bool equalFieldNames(std::string_view a, std::string_view b)
@@ -48,15 +30,6 @@
         message.insert(field.m_name, field.m_value);
 }
 
-template<typename Message>
-std::vector<HttpField> getFields(const Message &message)
-{
-    std::vector<HttpField> fields;
-    for (const auto &field : message.base())
-        fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    return fields;
-}
-
 /// Notifies the exchange if the caller closes the connection before its response is complete.
 void watchCallerDisconnect(const std::shared_ptr<HttpSession> &session,
                            const std::shared_ptr<HttpExchange> &exchange)
@@ -206,17 +179,6 @@
         || error == http::error::end_of_stream || error == http::error::partial_message;
 }
 
-/// A failure of an exchange on an open connection.
-Failure connectionFailure(const boost::system::error_code &error, RunState run)
-{
-    Failure failure = makeFailure(ErrorKind::BackendBroken, error.message());
-    if (error == beast::error::timeout)
-        failure = makeFailure(ErrorKind::DeadlinePassed, "the server did not respond in time");
-    failure.m_run = run;
-    failure.m_connectionEnded = endedByPeer(error);
-    return failure;
-}
-
 bool mayRepeat(const HttpRequest &request)
 {
     return request.m_method == "GET";
@@ -244,6 +206,16 @@
 
 } // namespace
 
+Failure connectionFailure(const boost::system::error_code &error, RunState run)
+{
+    Failure failure = makeFailure(ErrorKind::BackendBroken, error.message());
+    if (error == beast::error::timeout)
+        failure = makeFailure(ErrorKind::DeadlinePassed, "the server did not respond in time");
+    failure.m_run = run;
+    failure.m_connectionEnded = endedByPeer(error);
+    return failure;
+}
+
 std::string fieldOf(const std::vector<HttpField> &fields, std::string_view name)
 {
     for (const HttpField &field : fields) {
@@ -495,41 +467,6 @@
     co_return connectionFailure(error, RunState::Unknown);
 }
 
-namespace {
-
-/// Reads one head, informational or not, within the time limit set before.
-asio::awaitable<boost::system::error_code> readOneHead(HttpConnection &connection)
-{
-    connection.m_responseRead = false;
-    connection.m_parser.emplace();
-    connection.m_parser->skip(connection.m_headRequest);
-    connection.m_parser->body_limit(boost::none);
-    connection.m_parser->header_limit(responseHeadLimit);
-    const auto [error, bytes] = co_await http::async_read_header(
-        connection.m_stream, connection.m_buffer, *connection.m_parser, useAwaitable);
-    co_return error;
-}
-
-} // namespace
-
-asio::awaitable<Result<HttpHead>> readHead(HttpConnection &connection, Millis timeout)
-{
-    connection.m_stream.expires_after(toChrono(timeout));
-    auto error = co_await readOneHead(connection);
-    const auto informational
-        = [&] { return !error && connection.m_parser->get().result_int() / 100 == 1; };
-    for (int skipped = 0; informational() && skipped < maxInformationalHeads; ++skipped)
-        error = co_await readOneHead(connection);
-    if (error)
-        co_return connectionFailure(error, RunState::Unknown);
-    if (informational())
-        co_return makeFailure(ErrorKind::BackendBroken, "only informational heads, no response");
-    HttpHead head;
-    head.m_status = connection.m_parser->get().result_int();
-    head.m_fields = getFields(connection.m_parser->get());
-    co_return head;
-}
-
 ConnectionUse useOf(const HttpConnection &connection)
 {
     return connection.m_use;
--- a/src/connection/httpsession.h
+++ b/src/connection/httpsession.h
@@ -18,6 +18,15 @@
 /// Bytes read ahead on a connection. Chunk extensions have no limit of their own.
 constexpr std::size_t connectionBufferLimit = 64UL * 1024;
 
+template<typename Message>
+std::vector<HttpField> getFields(const Message &message)
+{
+    std::vector<HttpField> fields;
+    for (const auto &field : message.base())
+        fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    return fields;
+}
+
 /// A caller's connection.
 struct HttpSession
 {
--- a/src/process/ordertracking.cpp
+++ b/src/process/ordertracking.cpp
@@ -108,8 +108,12 @@
     if (co_await sendRequest(*connection, order.m_endpoint, request, orderTimeout))
         co_return CommandOutcome::Unknown;
     const auto head = co_await readHead(*connection, orderTimeout);
-    if (!ok(head))
+    if (!ok(head)) {
+        logEvent("order_unanswered",
+                 {{"server", order.m_command.m_server.m_text},
+                  {"why", std::get<Failure>(head).m_detail}});
         co_return CommandOutcome::Unknown;
+    }
     constexpr std::size_t maxAnswerBytes = 1 << 20;
     auto body = co_await readBody(*connection, orderTimeout, maxAnswerBytes);
     HttpResponse response;
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -59,6 +59,10 @@
 /// error is NotRun, nothing was sent to that host.
 asio::awaitable<CallError> forwardToHost(Call &call, Member host);
 
+/// forward.cpp: the head that another host passes on. Fails if its status completes no exchange: a
+/// host of an older build passes on any.
+Result<HttpHead> readForwardHead(const wire::ForwardHeadT &head);
+
 /// forward.cpp: a writer for the host that forwarded the request. It sets `complete` once the whole
 /// response was sent.
 ResponseWriter makePeerResponseWriter(const PeerConnectionPtr &connection, std::uint64_t frameId,
--- a/src/request/forward.cpp
+++ b/src/request/forward.cpp
@@ -2,6 +2,7 @@
 // sent as frames on one peer connection. A request is forwarded at most once.
 #include "request/call.h"
 
+#include "connection/responsehead.h"
 #include "process/log.h"
 
 #include <boost/asio.hpp>
@@ -35,15 +36,6 @@
     return makeFrame(std::move(request));
 }
 
-HttpHead readHeadFrame(const wire::ForwardHeadT &head)
-{
-    HttpHead result;
-    result.m_status = head.status;
-    for (const auto &field : head.fields)
-        result.m_fields.push_back({field->name, field->value});
-    return result;
-}
-
 FramePtr makeHeadFrame(const HttpHead &head, bool streamed)
 {
     wire::ForwardHeadT message;
@@ -84,7 +76,12 @@
                                  bool &streamed, CallError &error)
 {
     if (const auto *head = frame.body.AsForwardHead()) {
-        response.m_head = readHeadFrame(*head);
+        auto read = readForwardHead(*head);
+        if (!ok(read)) {
+            error = std::get<Failure>(std::move(read));
+            co_return false;
+        }
+        response.m_head = std::get<HttpHead>(std::move(read));
         streamed = head->streamed;
         call.m_status = head->status;
         if (streamed) {
@@ -153,6 +150,19 @@
 
 } // namespace
 
+Result<HttpHead> readForwardHead(const wire::ForwardHeadT &head)
+{
+    if (!isFinalStatus(head.status))
+        return makeFailure(ErrorKind::BackendBroken,
+                           "another host passes on the status " + std::to_string(head.status),
+                           RunState::Unknown);
+    HttpHead result;
+    result.m_status = head.status;
+    for (const auto &field : head.fields)
+        result.m_fields.push_back({field->name, field->value});
+    return result;
+}
+
 asio::awaitable<CallError> forwardToHost(Call &call, Member host)
 {
     PeerPool &pool = call.m_thread->m_peers;
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -3,7 +3,8 @@
 //
 // Fault modes: "slow"; "cut-before" aborts the response without running the request; "cut-after"
 // runs the request, then aborts the response; "die-after" runs the request, then ends the process;
-// "cross" (the response carries the id of another request).
+// "cross" (the response carries the id of another request); "no-status" (the response to a request
+// that ran has the status 000).
 #include "standin.h"
 
 #include <cxxopts.hpp>
@@ -51,8 +52,9 @@
         co_return;
     }
     const std::string responseId = consumeFault(service.m_fault, "cross") ? "another" : request;
-    const HttpResponse response
-        = confirmationResponse(exchange.m_request.m_target, run, responseId);
+    HttpResponse response = confirmationResponse(exchange.m_request.m_target, run, responseId);
+    if (consumeFault(service.m_fault, "no-status"))
+        response.m_head.m_status = 0;
     co_await sendResponse(exchange, response);
 }
 
--- a/tests/processes/requests.cpp
+++ b/tests/processes/requests.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST_SUITE(RequestsTest);
     CPPUNIT_TEST(concurrentRequestsOnManyHostsCauseOneLoad);
     CPPUNIT_TEST(crossedAndTruncatedResponsesNeverReachCallers);
+    CPPUNIT_TEST(responseWithoutAStatusReachesNoCaller);
     CPPUNIT_TEST(bookingsRunAtMostOnceDespiteHostAndConnectionFailures);
     CPPUNIT_TEST(failedRetryDoesNotReportNotRun);
     CPPUNIT_TEST(plannedStopFailsNoRequest);
@@ -132,6 +133,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("unknown"), crossed.m_run);
     }
 
+    // Guards against a caller that gets the status 000 of a service in trouble, directly or by way
+    // of the host that issued the ticket. The booking ran, so nobody may say that it did not.
+    void responseWithoutAStatusReachesNoCaller()
+    {
+        Fleet fleet;
+        startFleet(fleet, 2, {{}}, 1);
+        setFault(fleet.m_services[0], "mode=no-status");
+        const Endpoint issuer = fleet.m_hosts[0].m_listenAddress;
+        for (const Process &host : fleet.m_hosts) {
+            const std::string id = "no-status-" + host.m_name;
+            const Reply reply = book(host.m_listenAddress, issueTicket(issuer), id);
+            CPPUNIT_ASSERT_EQUAL(502U, reply.m_status);
+            CPPUNIT_ASSERT_EQUAL(std::string("unknown"), reply.m_run);
+            CPPUNIT_ASSERT_EQUAL(1, runsAt(fleet.m_services[0], id));
+        }
+    }
+
     // Guards against a booking that runs twice, and against one that ran and is reported as
     // not-run. Both can happen when a connection to the service breaks after or before the request
     // ran, or when the host that issued the ticket is killed and the caller repeats the request at
