--- a/src/connection/responsehead.cpp
+++ b/src/connection/responsehead.cpp
@@ -57,6 +57,14 @@
     co_return error;
 }
 
+/// Whether the field doesn't concern the transfer coding, or names the only one that this host
+/// knows. Requests carry no TE field, so a server may use no other (RFC 9112, section 7.4).
+bool hasKnownCoding(const HttpField &field)
+{
+    return !beast::iequals(field.m_name, "Transfer-Encoding")
+        || beast::iequals(field.m_value, "chunked");
+}
+
 Failure uninterpretableHead(const std::string &why, const std::string &statusLine)
 {
     return makeFailure(ErrorKind::BackendBroken,
@@ -107,6 +115,8 @@
 {
     if (!isHttpStatus(head.m_status))
         return "HTTP has no such status";
+    if (!std::all_of(head.m_fields.begin(), head.m_fields.end(), hasKnownCoding))
+        return "the transfer coding is unknown";
     return {};
 }
 
--- a/tests/unit/responseheads.cpp
+++ b/tests/unit/responseheads.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(ResponseHeadsTest);
     CPPUNIT_TEST(statusesOfHttpAreUnderstood);
+    CPPUNIT_TEST(chunksAreTheOnlyTransferCoding);
     CPPUNIT_TEST(otherHostsPassOnFinalStatusesOnly);
     CPPUNIT_TEST(statusLineIsSafeInLogs);
     CPPUNIT_TEST_SUITE_END();
@@ -28,6 +29,17 @@
         }
     }
 
+    /// Guards against a body of coded bytes, and against chunks that are refused.
+    void chunksAreTheOnlyTransferCoding()
+    {
+        HttpHead head;
+        addField(head.m_fields, "Content-Encoding", "gzip"); // concerns the body, not its transfer
+        addField(head.m_fields, "transfer-encoding", "Chunked");
+        CPPUNIT_ASSERT_EQUAL(std::string(), headDefect(head));
+        addField(head.m_fields, "Transfer-Encoding", "gzip");
+        CPPUNIT_ASSERT(!headDefect(head).empty());
+    }
+
     /// Guards against a status that a host of an older build passes on between hosts.
     void otherHostsPassOnFinalStatusesOnly()
     {
