--- a/src/connection/responsehead.cpp
+++ b/src/connection/responsehead.cpp
@@ -45,6 +45,13 @@
     co_return boost::system::error_code();
 }
 
+/// The head in the buffer, to the end of its last line.
+std::string_view wholeHead(const HttpConnection &connection)
+{
+    const std::string_view text = bufferedText(connection);
+    return text.substr(0, text.find(headEnd));
+}
+
 /// Parses the head that is in the buffer, and removes it there.
 asio::awaitable<boost::system::error_code> parseHead(HttpConnection &connection)
 {
@@ -88,7 +95,9 @@
     auto error = co_await receiveHead(connection);
     if (error)
         co_return connectionFailure(error, RunState::Unknown);
-    const std::string statusLine = statusLineText(bufferedText(connection));
+    const std::string statusLine = statusLineText(wholeHead(connection));
+    if (hasFoldedLine(wholeHead(connection)))
+        co_return uninterpretableHead("a line begins with a blank", statusLine);
     error = co_await parseHead(connection);
     if (error)
         co_return connectionFailure(error, RunState::Unknown);
@@ -111,6 +120,12 @@
     return isHttpStatus(status) && status >= 200;
 }
 
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos
+        || head.find("\r\n\t") != std::string_view::npos;
+}
+
 std::string headDefect(const HttpHead &head)
 {
     if (!isHttpStatus(head.m_status))
--- a/src/connection/responsehead.h
+++ b/src/connection/responsehead.h
@@ -13,6 +13,11 @@
 /// Whether a response with that status completes an exchange: informational ones (1xx) don't.
 bool isFinalStatus(unsigned status);
 
+/// Whether a line of the head begins with a blank. Once it continued the line before; what a server
+/// in trouble means by it is unknown, and it may be the field that says where the answer ends. A
+/// gateway may refuse such an answer (RFC 9112, section 5.2). The parser joins the lines.
+bool hasFoldedLine(std::string_view head);
+
 /// Why the parsed head can't be interpreted; empty if it can.
 std::string headDefect(const HttpHead &head);
 
--- a/tests/unit/responseheads.cpp
+++ b/tests/unit/responseheads.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(ResponseHeadsTest);
     CPPUNIT_TEST(statusesOfHttpAreUnderstood);
     CPPUNIT_TEST(chunksAreTheOnlyTransferCoding);
+    CPPUNIT_TEST(linesThatBeginWithABlankAreFound);
     CPPUNIT_TEST(otherHostsPassOnFinalStatusesOnly);
     CPPUNIT_TEST(statusLineIsSafeInLogs);
     CPPUNIT_TEST_SUITE_END();
@@ -40,6 +41,15 @@
         CPPUNIT_ASSERT(!headDefect(head).empty());
     }
 
+    /// Guards against a folded line that is overlooked, and against blanks elsewhere that are taken
+    /// for one.
+    void linesThatBeginWithABlankAreFound()
+    {
+        CPPUNIT_ASSERT(hasFoldedLine("HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\nE: f"));
+        CPPUNIT_ASSERT(hasFoldedLine("HTTP/1.1 200 OK\r\nA: b\r\n\tC: d"));
+        CPPUNIT_ASSERT(!hasFoldedLine("HTTP/1.1 200 OK \r\nA: b \r\nC:\td\r\nE:"));
+    }
+
     /// Guards against a status that a host of an older build passes on between hosts.
     void otherHostsPassOnFinalStatusesOnly()
     {
