--- a/src/connection/responsehead.cpp
+++ b/src/connection/responsehead.cpp
@@ -12,55 +12,51 @@
 constexpr std::uint32_t responseHeadLimit = 16 * 1024; // bytes of a head, and of trailers
 constexpr int maxInformationalHeads = 8;               // before the head of one response
 constexpr std::size_t statusLineLimit = 120;           // characters in logs
-constexpr std::string_view headEnd = "\r\n\r\n";
 
-std::string_view bufferedText(const HttpConnection &connection)
+/// Parses what is in the buffer as far as it goes, and moves the bytes of the head to `head`. Bytes
+/// that can't be a head are an error at once, not only when a whole head should be there.
+boost::system::error_code parseBuffered(HttpConnection &connection, std::string &head)
 {
     const auto bytes = connection.m_buffer.data();
-    return {static_cast<const char *>(bytes.data()), bytes.size()};
+    if (bytes.size() == 0)
+        return {};
+    boost::system::error_code error;
+    const std::size_t parsed = connection.m_parser->put(bytes, error);
+    head.append(static_cast<const char *>(bytes.data()), parsed);
+    connection.m_buffer.consume(parsed);
+    if (error == http::error::need_more)
+        error = {};
+    return error;
 }
 
-/// Receives until a whole head is in the buffer, within the time limit set before. The buffer grows
-/// as bytes arrive: most connections never need more than a small one.
-asio::awaitable<boost::system::error_code> receiveHead(HttpConnection &connection)
+/// Receives more bytes. The buffer grows as bytes arrive: most connections need a small one only.
+asio::awaitable<boost::system::error_code> receiveMore(HttpConnection &connection)
 {
-    std::size_t searched = 0; // bytes in which no end of the head begins
-    while (bufferedText(connection).find(headEnd, searched) == std::string_view::npos) {
-        const std::size_t size = bufferedText(connection).size();
-        if (size > responseHeadLimit)
-            co_return http::error::header_limit;
-        searched = size - std::min(size, headEnd.size() - 1);
-        const auto [error, count] = co_await connection.m_stream.async_read_some(
-            connection.m_buffer.prepare(
-                beast::read_size(connection.m_buffer, connectionBufferLimit)),
-            useAwaitable);
-        connection.m_buffer.commit(count);
-        if (error == asio::error::eof && size == 0)
-            co_return http::error::end_of_stream;
-        if (error == asio::error::eof)
-            co_return http::error::partial_message;
-        if (error)
-            co_return error;
-    }
-    co_return boost::system::error_code();
-}
-
-/// The head in the buffer, to the end of its last line.
-std::string_view wholeHead(const HttpConnection &connection)
-{
-    const std::string_view text = bufferedText(connection);
-    return text.substr(0, text.find(headEnd));
+    const std::size_t size = beast::read_size(connection.m_buffer, connectionBufferLimit);
+    const auto [error, count] = co_await connection.m_stream.async_read_some(
+        connection.m_buffer.prepare(size), useAwaitable);
+    connection.m_buffer.commit(count);
+    if (error != asio::error::eof)
+        co_return error;
+    if (connection.m_parser->got_some())
+        co_return http::error::partial_message;
+    co_return http::error::end_of_stream;
 }
 
-/// Parses the head that is in the buffer, and removes it there.
-asio::awaitable<boost::system::error_code> parseHead(HttpConnection &connection)
+/// Receives and parses one head, whose bytes `head` gets, within the time limit set before.
+asio::awaitable<boost::system::error_code> receiveHead(HttpConnection &connection,
+                                                       std::string &head)
 {
     connection.m_parser.emplace();
     connection.m_parser->skip(connection.m_headRequest);
     connection.m_parser->body_limit(boost::none);
     connection.m_parser->header_limit(responseHeadLimit);
-    const auto [error, bytes] = co_await http::async_read_header(
-        connection.m_stream, connection.m_buffer, *connection.m_parser, useAwaitable);
+    auto error = parseBuffered(connection, head);
+    while (!error && !connection.m_parser->is_header_done()) {
+        error = co_await receiveMore(connection);
+        if (!error)
+            error = parseBuffered(connection, head);
+    }
     co_return error;
 }
 
@@ -72,10 +68,11 @@
         || beast::iequals(field.m_value, "chunked");
 }
 
-Failure uninterpretableHead(const std::string &why, const std::string &statusLine)
+Failure uninterpretableHead(const std::string &why, const std::string &bytes)
 {
     return makeFailure(ErrorKind::BackendBroken,
-                       "the head can't be interpreted, " + why + ": '" + statusLine + "'",
+                       "the head can't be interpreted, " + why + ": '" + statusLineText(bytes)
+                           + "'",
                        RunState::Unknown);
 }
 
@@ -92,19 +89,16 @@
 asio::awaitable<Result<HttpHead>> readOneHead(HttpConnection &connection)
 {
     connection.m_responseRead = false;
-    auto error = co_await receiveHead(connection);
-    if (error)
-        co_return connectionFailure(error, RunState::Unknown);
-    const std::string statusLine = statusLineText(wholeHead(connection));
-    if (hasFoldedLine(wholeHead(connection)))
-        co_return uninterpretableHead("a line begins with a blank", statusLine);
-    error = co_await parseHead(connection);
+    std::string bytes;
+    const auto error = co_await receiveHead(connection, bytes);
     if (error)
         co_return connectionFailure(error, RunState::Unknown);
+    if (hasFoldedLine(bytes))
+        co_return uninterpretableHead("a line begins with a blank", bytes);
     HttpHead head = parsedHead(connection);
     const std::string defect = headDefect(head);
     if (!defect.empty())
-        co_return uninterpretableHead(defect, statusLine);
+        co_return uninterpretableHead(defect, bytes);
     co_return head;
 }
 
