accountgate: confirmations of the configuration get a file of their own

Change: keyconfirmation.cpp; lines moved, no behaviour changed. holderPeer() and sendAccountMessage() are declared in the header, beginLedger() takes the one line of the loop that belongs to limits.

--- a/src/process/accountgate.cpp
+++ b/src/process/accountgate.cpp
@@ -1,5 +1,5 @@
-// Messages between hosts about client accounts: confirmations of the configuration, on which API
-// keys depend, and grants of the lease holder for accounts with a limit.
+// Messages between hosts about client accounts, and the grants of the lease holder for accounts
+// with a limit. Confirmations of the configuration are in keyconfirmation.cpp.
 #include "process/accountgate.h"
 #include "process/log.h"
 
@@ -9,95 +9,13 @@
 
 namespace {
 
-constexpr Millis confirmInterval = {250}; // ms between two steps of keepKeysConfirmed()
-/// Age of the confirmation from which on another host is asked for a newer one.
-constexpr Millis askAge = {900};
-/// The same for a second host, chosen at random: the first may be gone.
-constexpr Millis askOthersAge = {1'600};
-/// The same for the store.
-constexpr Millis readAge = {2'400};
-constexpr Millis readInterval = {1'200};       // ms between two questions of this host to the store
-constexpr Millis askLifetime = {10'000};       // ms; a reply to an older question is ignored
-constexpr Millis quotaReplyTimeout = {150};    // ms; some round trips, and a busy event loop
-constexpr int quotaAsks = 2;                   // of one request: a datagram may be lost
-constexpr Millis recentDecisionTime = {2'000}; // ms; a question is repeated sooner than that
+constexpr Millis quotaReplyTimeout = {150};        // ms; some round trips, and a busy event loop
+constexpr int quotaAsks = 2;                       // of one request: a datagram may be lost
+constexpr Millis recentDecisionTime = {2'000};     // ms; a question is repeated sooner than that
 constexpr std::size_t maxRecentDecisions = 20'000; // more than are asked for in that time
 constexpr std::size_t maxDeparted = 400;           // hosts; more don't stop at the same time
 constexpr Millis silenceLogInterval = {1'000};
 
-Millis confirmationAge(const Gateway &gateway)
-{
-    return now(gateway) - gateway.m_accounts->m_confirmation.m_confirmedAt;
-}
-
-/// Whether keys depend on the confirmation of the configuration.
-bool mustConfirmKeys(const Gateway &gateway)
-{
-    return gateway.m_settings.m_keyCheckWithin > Millis{0} && gateway.m_routes
-        && gateway.m_routes->m_accounts.m_required;
-}
-
-/// The lease holder among the other hosts; null if none is known to be alive.
-const Peer *holderPeer(const Gateway &gateway)
-{
-    const auto peer = gateway.m_peers.find(gateway.m_holder);
-    // A stopping host isn't in the register any more, and gets no heartbeats.
-    const bool alive = gateway.m_stopping || isHolderAlive(gateway);
-    return alive && peer != gateway.m_peers.end() ? &peer->second : nullptr;
-}
-
-/// A ready host at random; null if there is none.
-const Peer *randomPeer(Gateway &gateway)
-{
-    const Peer *chosen = nullptr;
-    unsigned seen = 0;
-    for (const auto &[host, peer] : gateway.m_peers) {
-        if (peer.m_ready && gateway.m_random() % ++seen == 0)
-            chosen = &peer;
-    }
-    return chosen;
-}
-
-void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
-{
-    sendDatagram(gateway, MessageKind::Account, host.m_peer, encodeHeartbeat(heartbeat));
-}
-
-void askForConfirmation(Gateway &gateway, const Peer *peer)
-{
-    if (!peer)
-        return;
-    AccountGate &gate = *gateway.m_accounts;
-    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
-    heartbeat.confirmation_ask = ++gate.m_lastNumber;
-    gate.m_confirmationAsks[gate.m_lastNumber] = now(gateway);
-    sendAccountMessage(gateway, peer->m_entry, heartbeat);
-}
-
-void replyToConfirmationAsk(Gateway &gateway, const HostEntry &host, std::uint64_t number)
-{
-    if (!gateway.m_routes)
-        return;
-    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
-    heartbeat.confirmation_reply = std::make_unique<wire::ConfirmationReplyT>();
-    heartbeat.confirmation_reply->number = number;
-    heartbeat.confirmation_reply->version = gateway.m_routes->m_version;
-    heartbeat.confirmation_reply->age_ms = confirmationAge(gateway).m_count;
-    sendAccountMessage(gateway, host, heartbeat);
-}
-
-void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply)
-{
-    AccountGate &gate = *gateway.m_accounts;
-    const auto asked = gate.m_confirmationAsks.find(reply.number);
-    if (asked == gate.m_confirmationAsks.end() || !gateway.m_routes)
-        return;
-    const ConfirmationReply known = {asked->second, {reply.age_ms}, reply.version};
-    gate.m_confirmationAsks.erase(asked);
-    if (!applyConfirmation(gate.m_confirmation, known, gateway.m_routes->m_version))
-        catchUp(gateway, reply.version, 0, 0);
-}
-
 /// The buckets of this host's lease. A new lease begins without the decisions of the last one.
 QuotaLedger &ownLedger(Gateway &gateway)
 {
@@ -207,21 +125,6 @@
     logWarning("quota_undecided", {{"holder", gateway.m_holder.m_text}, {"why", why}});
 }
 
-/// Logs when the confirmation becomes too old for API keys, and when it is fresh again.
-void watchConfirmationAge(Gateway &gateway)
-{
-    AccountGate &gate = *gateway.m_accounts;
-    const Millis age = confirmationAge(gateway);
-    setConfirmationAge(gateway.m_metrics, age);
-    const bool lost = age >= gateway.m_settings.m_keyCheckWithin;
-    if (lost == std::exchange(gate.m_confirmationLost, lost))
-        return;
-    if (lost)
-        logWarning("keys_unverifiable", {{"age_ms", std::to_string(age.m_count)}});
-    else
-        logEvent("keys_verifiable", {{"age_ms", std::to_string(age.m_count)}});
-}
-
 } // namespace
 
 std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber)
@@ -231,42 +134,23 @@
     return gate;
 }
 
-void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began)
+const Peer *holderPeer(const Gateway &gateway)
 {
-    AccountGate &gate = *gateway.m_accounts;
-    // A version that can't be read may have revoked keys that the one in force still has.
-    if (revision != gate.m_unreadableRevision && gateway.m_routes)
-        confirmKeys(gate.m_confirmation, began);
+    const auto peer = gateway.m_peers.find(gateway.m_holder);
+    // A stopping host isn't in the register any more, and gets no heartbeats.
+    const bool alive = gateway.m_stopping || isHolderAlive(gateway);
+    return alive && peer != gateway.m_peers.end() ? &peer->second : nullptr;
 }
 
-asio::awaitable<void> confirmKeysIfDue(Gateway &gateway)
+void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
 {
-    AccountGate &gate = *gateway.m_accounts;
-    if (!mustConfirmKeys(gateway))
-        co_return;
-    const Millis time = now(gateway);
-    std::erase_if(gate.m_confirmationAsks,
-                  [&](const auto &ask) { return time - ask.second >= askLifetime; });
-    watchConfirmationAge(gateway);
-    const Millis age = confirmationAge(gateway);
-    if (age >= askAge)
-        askForConfirmation(gateway, holderPeer(gateway));
-    if (age >= askOthersAge)
-        askForConfirmation(gateway, randomPeer(gateway));
-    if (age < readAge || time - gate.m_readAt < readInterval)
-        co_return;
-    gate.m_readAt = time;
-    co_await rereadConfiguration(gateway);
+    sendDatagram(gateway, MessageKind::Account, host.m_peer, encodeHeartbeat(heartbeat));
 }
 
-asio::awaitable<void> keepKeysConfirmed(Gateway &gateway)
+void beginLedger(Gateway &gateway)
 {
-    while (true) {
-        if (holdsLease(gateway))
-            ownLedger(gateway); // begins with the lease, not with its first request
-        co_await confirmKeysIfDue(gateway);
-        co_await pauseFor(gateway, jittered(gateway, confirmInterval));
-    }
+    if (holdsLease(gateway))
+        ownLedger(gateway);
 }
 
 asio::awaitable<std::optional<QuotaGrant>> askForQuota(Gateway &gateway, AccountId account,
--- a/src/process/accountgate.h
+++ b/src/process/accountgate.h
@@ -60,6 +60,8 @@
 
 std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber);
 
+// --- keyconfirmation.cpp: confirmation of the configuration, on which API keys depend ---
+
 /// To be called when the store answered with the configuration at that revision. `began`: when it
 /// was asked.
 void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began);
@@ -71,6 +73,23 @@
 /// One step of the above.
 asio::awaitable<void> confirmKeysIfDue(Gateway &gateway);
 
+/// Tells a host that asked how old the confirmation is here.
+void replyToConfirmationAsk(Gateway &gateway, const HostEntry &host, std::uint64_t number);
+
+/// Takes over such a reply. Replies to unknown or old questions are ignored.
+void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply);
+
+// --- accountgate.cpp: messages about accounts, and their limits ---
+
+/// The lease holder among the other hosts; null if none is known to be alive.
+const Peer *holderPeer(const Gateway &gateway);
+
+void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat);
+
+/// On the lease holder, begins the buckets of a new lease. To be called often, so that they begin
+/// with the lease and not with its first request.
+void beginLedger(Gateway &gateway);
+
 /// Asks the lease holder whether a request of the account may be sent to a server. Empty if no host
 /// decided on it.
 asio::awaitable<std::optional<QuotaGrant>> askForQuota(Gateway &gateway, AccountId account,
