--- a/src/process/accountgate.cpp
+++ b/src/process/accountgate.cpp
@@ -98,7 +98,7 @@
     heartbeat.quota_reply->decided = reply.has_value();
     heartbeat.quota_reply->granted = reply && reply->m_granted;
     heartbeat.quota_reply->wait_ms = reply ? static_cast<std::int32_t>(reply->m_wait.m_count) : 0;
-    sendAccountMessage(gateway, host, heartbeat);
+    sendAccountMessage(gateway, host.m_peer, heartbeat);
 }
 
 void applyQuotaReply(Gateway &gateway, const wire::QuotaReplyT &reply)
@@ -127,10 +127,11 @@
 
 } // namespace
 
-std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber)
+std::shared_ptr<AccountGate> makeAccountGate(asio::io_context &io, std::uint64_t firstNumber)
 {
     auto gate = std::make_shared<AccountGate>();
     gate->m_lastNumber = firstNumber;
+    gate->m_peerVersions.m_survey.m_timer = std::make_unique<WakeableTimer>(io);
     return gate;
 }
 
@@ -142,9 +143,9 @@
     return alive && peer != gateway.m_peers.end() ? &peer->second : nullptr;
 }
 
-void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
+void sendAccountMessage(Gateway &gateway, const Endpoint &peer, const wire::BeatT &heartbeat)
 {
-    sendDatagram(gateway, MessageKind::Account, host.m_peer, encodeHeartbeat(heartbeat));
+    sendDatagram(gateway, MessageKind::Account, peer, encodeHeartbeat(heartbeat));
 }
 
 void beginLedger(Gateway &gateway)
@@ -175,7 +176,7 @@
         heartbeat.quota_ask->number = number;
         heartbeat.quota_ask->account = account.m_hash;
         heartbeat.quota_ask->cost = cost;
-        sendAccountMessage(gateway, holder->m_entry, heartbeat);
+        sendAccountMessage(gateway, holder->m_entry.m_peer, heartbeat);
         co_await sleepUntilWoken(pending.m_timer, quotaReplyTimeout);
     }
     gate.m_pendingQuotas.erase(number);
@@ -195,7 +196,7 @@
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.quota_return = std::make_unique<wire::QuotaReturnT>();
     heartbeat.quota_return->number = number;
-    sendAccountMessage(gateway, holder->m_entry, heartbeat);
+    sendAccountMessage(gateway, holder->m_entry.m_peer, heartbeat);
 }
 
 void rememberDeparted(Gateway &gateway, const HostEntry &host)
@@ -209,9 +210,9 @@
 void applyAccountMessages(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat)
 {
     if (heartbeat.confirmation_ask > 0)
-        replyToConfirmationAsk(gateway, host, heartbeat.confirmation_ask);
+        replyToConfirmationAsk(gateway, host.m_peer, heartbeat.confirmation_ask);
     if (heartbeat.confirmation_reply)
-        applyConfirmationReply(gateway, *heartbeat.confirmation_reply);
+        applyConfirmationReply(gateway, host.m_host, *heartbeat.confirmation_reply);
     if (heartbeat.quota_ask)
         replyToQuotaAsk(gateway, host, *heartbeat.quota_ask);
     if (heartbeat.quota_reply)
@@ -220,11 +221,18 @@
         applyReturn(gateway, host.m_host, heartbeat.quota_return->number);
 }
 
-void applyMessagesOfDeparted(Gateway &gateway, const wire::BeatT &heartbeat)
+void applyMessagesOfUnregistered(Gateway &gateway, const wire::BeatT &heartbeat,
+                                 const Endpoint &from)
 {
+    if (!heartbeat.brief)
+        return;
     const auto host = gateway.m_accounts->m_departed.find({heartbeat.host});
-    if (host != gateway.m_accounts->m_departed.end() && heartbeat.brief)
+    if (host != gateway.m_accounts->m_departed.end()) {
+        host->second.m_peer = from; // it may have started again at another address
         applyAccountMessages(gateway, host->second, heartbeat);
+    } else if (heartbeat.confirmation_ask > 0) {
+        replyToConfirmationAsk(gateway, from, heartbeat.confirmation_ask);
+    }
 }
 
 } // namespace apricot
--- a/src/process/accountgate.h
+++ b/src/process/accountgate.h
@@ -8,6 +8,7 @@
 
 #include "accounts/accounts.h"
 #include "process/heartbeat.h"
+#include "process/peerversions.h"
 
 namespace apricot {
 
@@ -43,6 +44,7 @@
 struct AccountGate
 {
     KeyConfirmation m_confirmation;
+    PeerVersions m_peerVersions;
     bool m_confirmationLost = false;        // as last logged
     std::uint64_t m_unreadableRevision = 0; // of a configuration that can't be read; 0: none
     std::uint64_t m_lastNumber = 0;         // of the questions of this process; random at the start
@@ -58,7 +60,7 @@
     std::map<HostName, HostEntry> m_departed;
 };
 
-std::shared_ptr<AccountGate> makeAccountGate(std::uint64_t firstNumber);
+std::shared_ptr<AccountGate> makeAccountGate(asio::io_context &io, std::uint64_t firstNumber);
 
 // --- keyconfirmation.cpp: confirmation of the configuration, on which API keys depend ---
 
@@ -66,6 +68,14 @@
 /// was asked.
 void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began);
 
+/// Confirms the configuration in force by the last read, once the other hosts were surveyed in this
+/// era of the store. If they have a newer one, the store has lost that, and what it confirmed
+/// before is withdrawn.
+void confirmByRead(Gateway &gateway);
+
+/// Asks another host how old its confirmation is; null: nobody is asked.
+void askForConfirmation(Gateway &gateway, const Peer *peer);
+
 /// Keeps the confirmation of the configuration fresh, by other hosts or else by the store, while
 /// API keys depend on it.
 asio::awaitable<void> keepKeysConfirmed(Gateway &gateway);
@@ -74,17 +84,18 @@
 asio::awaitable<void> confirmKeysIfDue(Gateway &gateway);
 
 /// Tells a host that asked how old the confirmation is here.
-void replyToConfirmationAsk(Gateway &gateway, const HostEntry &host, std::uint64_t number);
+void replyToConfirmationAsk(Gateway &gateway, const Endpoint &asker, std::uint64_t number);
 
 /// Takes over such a reply. Replies to unknown or old questions are ignored.
-void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply);
+void applyConfirmationReply(Gateway &gateway, const HostName &host,
+                            const wire::ConfirmationReplyT &reply);
 
 // --- accountgate.cpp: messages about accounts, and their limits ---
 
 /// The lease holder among the other hosts; null if none is known to be alive.
 const Peer *holderPeer(const Gateway &gateway);
 
-void sendAccountMessage(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat);
+void sendAccountMessage(Gateway &gateway, const Endpoint &peer, const wire::BeatT &heartbeat);
 
 /// On the lease holder, begins the buckets of a new lease. To be called often, so that they begin
 /// with the lease and not with its first request.
@@ -104,7 +115,9 @@
 /// Takes over questions, replies and returns from another host.
 void applyAccountMessages(Gateway &gateway, const HostEntry &host, const wire::BeatT &heartbeat);
 
-/// The same from a host that isn't in the register, if it left it a moment ago.
-void applyMessagesOfDeparted(Gateway &gateway, const wire::BeatT &heartbeat);
+/// The same from a host that isn't in the register, if it left it a moment ago. A host that isn't
+/// known yet, since it started a moment ago, gets replies on versions only. `from`: its address.
+void applyMessagesOfUnregistered(Gateway &gateway, const wire::BeatT &heartbeat,
+                                 const Endpoint &from);
 
 } // namespace apricot
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -253,7 +253,7 @@
     gateway->m_admission = makeAdmission(settings);
     gateway->m_callerOptions->m_admission = gateway->m_admission;
     gateway->m_answerBytes.m_limit = answerBytesOf(settings.m_machine, gateway->m_answerBytes);
-    gateway->m_accounts = makeAccountGate(gateway->m_random());
+    gateway->m_accounts = makeAccountGate(gateway->m_io, gateway->m_random());
     gateway->m_leaseTiming.m_handoverDelay = settings.m_leaseHandoverDelay;
     gateway->m_originRecord.m_trigger = std::make_unique<WakeableTimer>(gateway->m_io);
     gateway->m_listTrigger = std::make_unique<WakeableTimer>(gateway->m_io);
@@ -291,6 +291,7 @@
     if (failure)
         return failure;
     gateway.m_startedAt = now(gateway);
+    holdBackForVersions(gateway);
     begin(gateway, "configuration", syncObjects(gateway, ObjectKind::Configuration));
     begin(gateway, "servers", syncServers(gateway));
     begin(gateway, "resynchronize", resyncStore(gateway));
@@ -374,7 +375,8 @@
 
 bool isReady(const Gateway &gateway)
 {
-    return gateway.m_routes && gateway.m_serverTableLoaded && !gateway.m_stopping;
+    return gateway.m_routes && gateway.m_serverTableLoaded && !isHeldBackByVersions(gateway)
+        && !gateway.m_stopping;
 }
 
 void begin(Gateway &gateway, const char *name, asio::awaitable<void> work)
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -156,9 +156,10 @@
     return heartbeat;
 }
 
-void handlePeerHeartbeat(Gateway &gateway, const wire::BeatT &heartbeat)
+void handlePeerHeartbeat(Gateway &gateway, const wire::BeatT &heartbeat, const Endpoint &from)
 {
     const HostName host = {heartbeat.host};
+    hearVersion(gateway, heartbeat.routes);
     if (const auto release = releaseIn(heartbeat))
         handleRelease(gateway, heartbeat.host, *release);
     const auto found = gateway.m_peers.find(host);
@@ -166,7 +167,7 @@
         // Only a ready host counts: one that is starting or stopping never takes the lease over.
         if (host != gateway.m_settings.m_host && heartbeat.ready)
             gateway.m_unregisteredHosts[host] = now(gateway);
-        applyMessagesOfDeparted(gateway, heartbeat);
+        applyMessagesOfUnregistered(gateway, heartbeat, from);
         return; // not in the register, or its entry hasn't arrived here yet
     }
     Peer &peer = found->second;
@@ -303,7 +304,7 @@
             continue;
         wire::BeatT heartbeat;
         flatbuffers::GetRoot<wire::Beat>(data)->UnPackTo(&heartbeat);
-        handlePeerHeartbeat(gateway, heartbeat);
+        handlePeerHeartbeat(gateway, heartbeat, {from.address().to_string(), from.port()});
     }
 }
 
--- a/src/process/keyconfirmation.cpp
+++ b/src/process/keyconfirmation.cpp
@@ -1,5 +1,5 @@
 // Confirmation of the configuration, on which API keys depend: by other hosts, or else by the
-// store.
+// store. Neither counts while another host is known to have a newer configuration.
 #include "process/accountgate.h"
 #include "process/log.h"
 
@@ -41,17 +41,6 @@
     return chosen;
 }
 
-void askForConfirmation(Gateway &gateway, const Peer *peer)
-{
-    if (!peer)
-        return;
-    AccountGate &gate = *gateway.m_accounts;
-    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
-    heartbeat.confirmation_ask = ++gate.m_lastNumber;
-    gate.m_confirmationAsks[gate.m_lastNumber] = now(gateway);
-    sendAccountMessage(gateway, peer->m_entry, heartbeat);
-}
-
 /// Logs when the confirmation becomes too old for API keys, and when it is fresh again.
 void watchConfirmationAge(Gateway &gateway)
 {
@@ -69,7 +58,21 @@
 
 } // namespace
 
-void replyToConfirmationAsk(Gateway &gateway, const HostEntry &host, std::uint64_t number)
+void askForConfirmation(Gateway &gateway, const Peer *peer)
+{
+    if (!peer)
+        return;
+    AccountGate &gate = *gateway.m_accounts;
+    const Millis time = now(gateway);
+    std::erase_if(gate.m_confirmationAsks,
+                  [&](const auto &ask) { return time - ask.second >= askLifetime; });
+    wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
+    heartbeat.confirmation_ask = ++gate.m_lastNumber;
+    gate.m_confirmationAsks[gate.m_lastNumber] = time;
+    sendAccountMessage(gateway, peer->m_entry.m_peer, heartbeat);
+}
+
+void replyToConfirmationAsk(Gateway &gateway, const Endpoint &asker, std::uint64_t number)
 {
     if (!gateway.m_routes)
         return;
@@ -78,27 +81,54 @@
     heartbeat.confirmation_reply->number = number;
     heartbeat.confirmation_reply->version = gateway.m_routes->m_version;
     heartbeat.confirmation_reply->age_ms = confirmationAge(gateway).m_count;
-    sendAccountMessage(gateway, host, heartbeat);
+    sendAccountMessage(gateway, asker, heartbeat);
 }
 
-void applyConfirmationReply(Gateway &gateway, const wire::ConfirmationReplyT &reply)
+void applyConfirmationReply(Gateway &gateway, const HostName &host,
+                            const wire::ConfirmationReplyT &reply)
 {
     AccountGate &gate = *gateway.m_accounts;
     const auto asked = gate.m_confirmationAsks.find(reply.number);
-    if (asked == gate.m_confirmationAsks.end() || !gateway.m_routes)
+    if (asked == gate.m_confirmationAsks.end())
         return;
     const ConfirmationReply known = {asked->second, {reply.age_ms}, reply.version};
     gate.m_confirmationAsks.erase(asked);
-    if (!applyConfirmation(gate.m_confirmation, known, gateway.m_routes->m_version))
+    hearVersion(gateway, reply.version);
+    recordSurveyReply(gateway, host);
+    if (!gateway.m_routes)
+        return;
+    if (isBehindPeers(gateway))
         catchUp(gateway, reply.version, 0, 0);
+    else
+        applyConfirmation(gate.m_confirmation, known, gateway.m_routes->m_version);
 }
 
 void recordConfigurationRead(Gateway &gateway, std::uint64_t revision, Millis began)
 {
     AccountGate &gate = *gateway.m_accounts;
     // A version that can't be read may have revoked keys that the one in force still has.
-    if (revision != gate.m_unreadableRevision && gateway.m_routes)
+    if (revision == gate.m_unreadableRevision || !gateway.m_routes)
+        return;
+    gate.m_peerVersions.m_unconfirmedRead = began;
+    confirmByRead(gateway);
+    noteVersionInForce(gateway);
+}
+
+void confirmByRead(Gateway &gateway)
+{
+    AccountGate &gate = *gateway.m_accounts;
+    PeerVersions &versions = gate.m_peerVersions;
+    if (!versions.m_unconfirmedRead || versions.m_survey.m_doneInEra != gateway.m_storeEra)
+        return;
+    const Millis began = *std::exchange(versions.m_unconfirmedRead, std::nullopt);
+    if (!isBehindPeers(gateway)) {
         confirmKeys(gate.m_confirmation, began);
+        return;
+    }
+    if (began < versions.m_newestHeardAt)
+        return; // the newer version may have been written after the read
+    recordOlderRead(gateway);
+    gate.m_confirmation = {};
 }
 
 asio::awaitable<void> confirmKeysIfDue(Gateway &gateway)
@@ -107,8 +137,6 @@
     if (!mustConfirmKeys(gateway))
         co_return;
     const Millis time = now(gateway);
-    std::erase_if(gate.m_confirmationAsks,
-                  [&](const auto &ask) { return time - ask.second >= askLifetime; });
     watchConfirmationAge(gateway);
     const Millis age = confirmationAge(gateway);
     if (age >= askAge)
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -69,7 +69,8 @@
     if (era < known)
         return false;
     const bool risen = era > known;
-    gateway.m_storeEra = era;
+    if (std::exchange(gateway.m_storeEra, era) != era)
+        noteEraForVersions(gateway);
     if (!risen)
         return true;
     logWarning("store_era", {{"old", std::to_string(known)}, {"new", std::to_string(era)}});
@@ -134,6 +135,7 @@
                             [&](const Route &route) { return route.m_name == times.first; });
     });
     gateway.m_routes = std::move(table);
+    noteVersionInForce(gateway);
 }
 
 void logServer(const char *event, const InstanceId &id, std::uint64_t revision, const char *why)
@@ -267,8 +269,10 @@
         }
         if (!page->m_more || page->m_objects.empty()) {
             dropUnlisted(gateway, kind, listed);
-            if (kind == ObjectKind::Hosts)
+            if (kind == ObjectKind::Hosts) {
                 gateway.m_registerRead = true;
+                surveyVersionsIfDue(gateway);
+            }
             if (kind == ObjectKind::Servers) {
                 gateway.m_serverTableLoaded = true;
                 gateway.m_serverTable.m_revision = page->m_revision;
@@ -466,8 +470,9 @@
 
 void catchUp(Gateway &gateway, std::uint64_t routes, std::uint64_t digest, std::uint64_t revision)
 {
-    const bool behind
-        = isConfigurationBehind(gateway, routes) || isServerTableBehind(gateway, digest, revision);
+    const bool configurationBehind
+        = isConfigurationBehind(gateway, routes) && !isStoreKnownOlder(gateway);
+    const bool behind = configurationBehind || isServerTableBehind(gateway, digest, revision);
     if (gateway.m_catchingUp || !behind)
         return;
     gateway.m_catchingUp = true;
