--- a/src/process/accountgate.cpp
+++ b/src/process/accountgate.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t maxRecentDecisions = 20'000; // more than are asked for in that time
 constexpr std::size_t maxDeparted = 400;           // hosts; more don't stop at the same time
 constexpr Millis silenceLogInterval = {1'000};
+constexpr Millis lateGrantTime = {2'000}; // after that the holder takes nothing back
 
 /// The buckets of this host's lease. A new lease begins without the decisions of the last one.
 QuotaLedger &ownLedger(Gateway &gateway)
@@ -80,7 +81,8 @@
     if (found == recent.end() || !found->second.m_reply.m_granted)
         return;
     const RecentDecision granted = found->second;
-    recent.erase(found);
+    found->second.m_reply = {false, Millis{1}};
+    countQuotaDecision(gateway.m_metrics, "returned");
     const Account *account = findAccount(gateway.m_routes->m_accounts, granted.m_account);
     if (account)
         returnQuota(ledger, {granted.m_account, account->m_limit, granted.m_cost}, granted.m_at,
@@ -105,16 +107,28 @@
 {
     const auto pending = gateway.m_accounts->m_pendingQuotas.find(reply.number);
     if (pending == gateway.m_accounts->m_pendingQuotas.end()) {
-        if (reply.granted) // too late
+        if (reply.granted && gateway.m_accounts->m_endedQuotas.erase(reply.number) > 0)
             giveQuotaBack(gateway, reply.number);
         return;
     }
+    if (pending->second->m_reply.m_granted)
+        return; // the request takes that grant; another holder's reply changes nothing
     pending->second->m_replied = true;
     pending->second->m_decided = reply.decided;
     pending->second->m_reply = {reply.granted, {std::max(reply.wait_ms, 1)}};
     wake(pending->second->m_timer);
 }
 
+/// Records that a question ended without a grant.
+void recordEndedQuota(Gateway &gateway, std::uint64_t number)
+{
+    auto &ended = gateway.m_accounts->m_endedQuotas;
+    const Millis time = now(gateway);
+    while (!ended.empty() && time - ended.begin()->second >= lateGrantTime)
+        ended.erase(ended.begin()); // numbers rise, so the first ones are the oldest
+    ended[number] = time;
+}
+
 void logSilence(Gateway &gateway, const char *why)
 {
     AccountGate &gate = *gateway.m_accounts;
@@ -180,6 +194,8 @@
         co_await sleepUntilWoken(pending.m_timer, quotaReplyTimeout);
     }
     gate.m_pendingQuotas.erase(number);
+    if (!pending.m_reply.m_granted)
+        recordEndedQuota(gateway, number);
     if (pending.m_replied && pending.m_decided)
         co_return QuotaGrant{pending.m_reply, number};
     logSilence(gateway, pending.m_replied ? "the asked host doesn't decide" : "no reply");
--- a/src/process/accountgate.h
+++ b/src/process/accountgate.h
@@ -24,7 +24,8 @@
 };
 
 /// A decision of this host as the lease holder, kept for a moment: the question may come twice, and
-/// what was granted may be returned, once.
+/// what was granted may be returned, once. What was returned is no longer granted: the question may
+/// come once more after that.
 struct RecentDecision
 {
     QuotaReply m_reply;
@@ -51,6 +52,10 @@
     std::map<std::uint64_t, Millis> m_confirmationAsks; // by number: when they were sent
     Millis m_readAt = {-1'000'000'000}; // when this host itself last asked the store
     std::map<std::uint64_t, PendingQuota *> m_pendingQuotas; // by number
+    /// Questions that ended without a grant, by number, with the time of their end: a grant that
+    /// comes after that is given back. A number that isn't here was granted, and its request may
+    /// run: a further reply, such as to the repetition of the question, changes nothing.
+    std::map<std::uint64_t, Millis> m_endedQuotas;
     Millis m_silenceLoggedAt = {-1'000'000'000};
 
     // Of the lease holder.
