--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -22,6 +22,7 @@
 constexpr Millis storeAckTimeout = {1'200};
 constexpr Millis serverAckTimeout = {1'500};
 constexpr Millis serverConnectionIdleTime = {4'000};
+constexpr Millis distantFuture = {std::numeric_limits<std::int64_t>::max() / 2};
 
 /// Answers an address request with the addresses of the hosts that serve callers.
 asio::awaitable<void> answerDirectory(Gateway &gateway, HttpExchange &exchange)
@@ -292,6 +293,7 @@
         return failure;
     gateway.m_startedAt = now(gateway);
     holdBackForVersions(gateway);
+    gateway.m_permits.m_standing.m_givesFrom = distantFuture; // until the register was read
     begin(gateway, "configuration", syncObjects(gateway, ObjectKind::Configuration));
     begin(gateway, "servers", syncServers(gateway));
     begin(gateway, "resynchronize", resyncStore(gateway));
--- a/src/process/gatewaystate.h
+++ b/src/process/gatewaystate.h
@@ -245,6 +245,7 @@
     std::map<std::uint64_t, PendingPermit *> m_pending; // by the number of the request
     std::uint64_t m_lastNumber = 0;
     std::map<HostName, Millis> m_unreachableUntil; // hosts that didn't reply: not asked
+    PermitStanding m_standing;                     // of this host among those that give permits
     InstanceId m_lastSent;                         // last limit sent in rotation
     InstanceId m_lastNewSent;                      // the same of limits that are new
 };
@@ -531,6 +532,9 @@
 asio::awaitable<void> unregisterHost(Gateway &gateway);
 void applyHostEntry(Gateway &gateway, const StoredObject &object);
 
+/// To be called when another host is no longer in the register.
+void removePeer(Gateway &gateway, const HostName &host);
+
 /// Returns whether the store still has this host's entry in the register. If it doesn't, the entry
 /// is written again.
 asio::awaitable<bool> verifyRegistration(Gateway &gateway);
@@ -710,6 +714,9 @@
 /// next heartbeats.
 void recordServerLimit(Gateway &gateway, KnownServer &known, const LimitStatement &statement);
 
+/// Takes note of whether this host hears others; see noteStanding(). To be called often.
+void watchPermitStanding(Gateway &gateway);
+
 /// Whether a request may be sent now to a server with a limit. If not, the server isn't chosen
 /// until the next permit is due. Without a reply of the hosts that give permits it may not.
 asio::awaitable<bool> requestPermit(Gateway &gateway, InstanceId server);
--- a/src/process/hostregister.cpp
+++ b/src/process/hostregister.cpp
@@ -207,6 +207,16 @@
     changes.m_loggedAt = now(gateway);
 }
 
+void removePeer(Gateway &gateway, const HostName &host)
+{
+    const auto peer = gateway.m_peers.find(host);
+    if (peer == gateway.m_peers.end())
+        return;
+    rememberDeparted(gateway, peer->second.m_entry);
+    noteHostLeft(gateway.m_permits.m_standing, host, now(gateway));
+    gateway.m_peers.erase(peer);
+}
+
 void applyHostEntry(Gateway &gateway, const StoredObject &object)
 {
     const HostName host = {object.m_name};
@@ -221,10 +231,7 @@
         return;
     }
     if (object.m_deleted) {
-        if (const auto peer = gateway.m_peers.find(host); peer != gateway.m_peers.end()) {
-            rememberDeparted(gateway, peer->second.m_entry);
-            gateway.m_peers.erase(peer);
-        }
+        removePeer(gateway, host);
         countHostChange(gateway.m_hostChanges, gateway.m_hostChanges.m_gone, host);
         return;
     }
--- a/src/process/hosts.cpp
+++ b/src/process/hosts.cpp
@@ -379,6 +379,7 @@
 void sendPeriodicHeartbeat(Gateway &gateway, std::size_t &nextPeer)
 {
     watchVersions(gateway);
+    watchPermitStanding(gateway);
     wire::BeatT heartbeat = makeHeartbeat(gateway);
     addQuarantineStates(gateway, heartbeat);
     addServerLimits(gateway, heartbeat);
--- a/src/process/peerversions.cpp
+++ b/src/process/peerversions.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr Millis surveyReplyTimeout = {150}; // some round trips, and a busy event loop
-constexpr int surveyAsks = 3;                // of one host: datagrams may be lost
-/// Hosts that are asked, at random: if one in five has a newer version, all but one in a million
-/// surveys hear of it.
-constexpr std::size_t maxSurveyedHosts = 64;
+constexpr int surveyAsks = 2;                // of one host: datagrams may be lost
+/// Hosts that are asked, at random: if half of all have a newer version, all but one in 60,000
+/// surveys hear of it. The next heartbeats tell of it in any case.
+constexpr std::size_t maxSurveyedHosts = 16;
 /// Time between two reads of a store whose version is known to be older.
 constexpr Millis olderReadInterval = {500};
 /// Longest time for which a host that starts isn't ready since it is behind. The operator writes
--- a/src/process/permits.cpp
+++ b/src/process/permits.cpp
@@ -1,5 +1,6 @@
 // Exchange between hosts on servers that name a limit for the requests of all hosts together. The
-// decisions are in serverlimits.h.
+// decisions are in serverlimits.h. A host that gives no permits for a server doesn't reply, also
+// because hosts of older builds then ask another one.
 #include "process/heartbeat.h"
 #include "process/log.h"
 
@@ -11,7 +12,11 @@
 
 constexpr Millis replyTimeout = {60};       // for a permit; some round trips between data centres
 constexpr int asksOfOneHost = 2;            // before another host is asked: a datagram may be lost
-constexpr Millis unreachableTime = {3'000}; // for which a host that didn't reply isn't asked
+constexpr std::size_t hostsToAsk = 2;       // primary and deputy
+constexpr Millis unreachableTime = {1'000}; // for which a host that didn't reply isn't asked
+/// Time since the last heartbeat for which a host counts that isn't in the register, as known here:
+/// with the most hosts, each hears each other one so often.
+constexpr Millis unregisteredTime = {25'000};
 /// Time for which a server isn't chosen if no host replied.
 constexpr Millis noReplyPause = {200};
 constexpr std::size_t limitsPerHeartbeat = 2;    // in rotation
@@ -59,36 +64,68 @@
     return known;
 }
 
-/// Gives a permit for the server, or tells when the next one is due.
-PermitReply givePermit(Gateway &gateway, const InstanceId &server, double rate)
+/// This host and the others in the register, as known here.
+std::vector<HostName> registeredHosts(const Gateway &gateway)
 {
+    std::vector<HostName> hosts = {gateway.m_settings.m_host};
+    for (const auto &[host, peer] : gateway.m_peers)
+        hosts.push_back(host);
+    return hosts;
+}
+
+/// The part of the server's permits that this host may give now.
+PermitRole ownRole(const Gateway &gateway, const InstanceId &server)
+{
+    if (gateway.m_stopping)
+        return PermitRole::None;
     const Millis time = now(gateway);
+    std::vector<HostName> hosts = registeredHosts(gateway);
+    for (const auto &[host, heardAt] : gateway.m_unregisteredHosts) {
+        if (time - heardAt < unregisteredTime && !gateway.m_peers.contains(host))
+            hosts.push_back(host);
+    }
+    return permitRole(gateway.m_permits.m_standing, server, gateway.m_settings.m_host,
+                      std::move(hosts), time);
+}
+
+/// Gives a permit for the server, or tells when the next one is due. Empty: this host gives none
+/// for it.
+std::optional<PermitReply> givePermit(Gateway &gateway, const InstanceId &server, double rate)
+{
+    watchPermitStanding(gateway);
+    const PermitRole role = ownRole(gateway, server);
     auto &schedules = gateway.m_permits.m_schedules;
+    if (role == PermitRole::None) {
+        schedules.erase(server); // a later one starts without a burst
+        return {};
+    }
+    const Millis time = now(gateway);
     auto schedule = schedules.find(server);
     if (schedule == schedules.end()) {
         std::erase_if(schedules, [&](const auto &kept) {
             return !knownServer(gateway.m_serverTable, kept.first);
         });
         if (schedules.size() >= maxSchedules)
-            return {false, noReplyPause};
-        schedule = schedules.emplace(server, startSchedule(rate, time)).first;
+            return PermitReply{false, noReplyPause};
+        schedule = schedules.emplace(server, startSchedule(role, rate, time)).first;
     }
-    const auto wait = takePermit(schedule->second, rate, time);
-    return {!wait, wait.value_or(Millis{})};
+    const auto wait = takePermit(schedule->second, role, rate, time);
+    return PermitReply{!wait, wait.value_or(Millis{})};
 }
 
-/// The host to ask for permits for the server: the first one that isn't known to be unreachable.
-HostName permitHost(const Gateway &gateway, const InstanceId &server)
+/// The hosts to ask for permits for the server, in this order: primary and deputy.
+std::vector<HostName> hostsToAskFor(const Gateway &gateway, const InstanceId &server)
+{
+    std::vector<HostName> hosts = permitHosts(server, registeredHosts(gateway));
+    hosts.resize(std::min(hosts.size(), hostsToAsk));
+    return hosts;
+}
+
+bool isUnreachable(const Gateway &gateway, const HostName &host)
 {
-    const HostName &self = gateway.m_settings.m_host;
     const auto &unreachable = gateway.m_permits.m_unreachableUntil;
-    std::vector<HostName> hosts = {self};
-    for (const auto &[host, peer] : gateway.m_peers) {
-        const auto until = unreachable.find(host);
-        if (until == unreachable.end() || now(gateway) >= until->second)
-            hosts.push_back(host);
-    }
-    return permitHosts(server, hosts).front();
+    const auto until = unreachable.find(host);
+    return until != unreachable.end() && now(gateway) < until->second;
 }
 
 /// Asks another host for a permit once; empty if no reply came.
@@ -114,25 +151,40 @@
     co_return pending.m_reply;
 }
 
-/// Asks the host that gives permits for the server, and if it doesn't reply, the next one.
+/// Asks another host for a permit, again if no reply comes.
+asio::awaitable<std::optional<PermitReply>> askOtherHost(Gateway &gateway, HostName host,
+                                                         InstanceId server)
+{
+    for (int time = 0; time < asksOfOneHost; ++time) {
+        const auto reply = co_await askHost(gateway, host, server);
+        if (reply)
+            co_return reply;
+    }
+    gateway.m_permits.m_unreachableUntil[host] = now(gateway) + unreachableTime;
+    logWarning("permit_host_silent", {{"peer", host.m_text}, {"server", server.m_text}});
+    co_return std::nullopt;
+}
+
+/// Gives a permit to a request of this host. Empty: this host gives none for the server.
+std::optional<PermitReply> giveOwnPermit(Gateway &gateway, const InstanceId &server)
+{
+    const KnownServer *known = knownServer(gateway.m_serverTable, server);
+    if (!known || !known->m_said.m_limit)
+        return PermitReply{false, noReplyPause};
+    return givePermit(gateway, server, known->m_said.m_limit->m_rate);
+}
+
+/// Asks the primary of the server, and if it doesn't reply, the deputy.
 asio::awaitable<PermitReply> askForPermit(Gateway &gateway, InstanceId server)
 {
-    constexpr int hostsToAsk = 2;
-    for (int asked = 0; asked < hostsToAsk; ++asked) {
-        const HostName host = permitHost(gateway, server);
-        if (host == gateway.m_settings.m_host) {
-            const KnownServer *known = knownServer(gateway.m_serverTable, server);
-            if (!known || !known->m_said.m_limit)
-                break;
-            co_return givePermit(gateway, server, known->m_said.m_limit->m_rate);
-        }
-        for (int time = 0; time < asksOfOneHost; ++time) {
-            const auto reply = co_await askHost(gateway, host, server);
-            if (reply)
-                co_return *reply;
-        }
-        gateway.m_permits.m_unreachableUntil[host] = now(gateway) + unreachableTime;
-        logWarning("permit_host_silent", {{"peer", host.m_text}, {"server", server.m_text}});
+    for (const HostName &host : hostsToAskFor(gateway, server)) {
+        std::optional<PermitReply> reply;
+        if (host == gateway.m_settings.m_host)
+            reply = giveOwnPermit(gateway, server);
+        else if (!isUnreachable(gateway, host))
+            reply = co_await askOtherHost(gateway, host, server);
+        if (reply)
+            co_return *reply;
     }
     co_return PermitReply{false, noReplyPause};
 }
@@ -148,12 +200,14 @@
     // This host may have been told that the limit ended.
     const double named = known->m_said.m_limit ? known->m_said.m_limit->m_rate : ask.limit->rate;
     const double rate = std::clamp(named, lowestLimit, highestLimit);
-    const PermitReply reply = givePermit(gateway, server, rate);
+    const auto reply = givePermit(gateway, server, rate);
+    if (!reply)
+        return;
     wire::BeatT heartbeat = makeBriefHeartbeat(gateway);
     heartbeat.permit_reply = std::make_unique<wire::PermitReplyT>();
     heartbeat.permit_reply->number = ask.number;
-    heartbeat.permit_reply->granted = reply.m_granted;
-    heartbeat.permit_reply->wait_ms = static_cast<std::int32_t>(reply.m_wait.m_count);
+    heartbeat.permit_reply->granted = reply->m_granted;
+    heartbeat.permit_reply->wait_ms = static_cast<std::int32_t>(reply->m_wait.m_count);
     sendDatagram(gateway, MessageKind::Permit, peer.m_entry.m_peer, encodeHeartbeat(heartbeat));
 }
 
@@ -168,6 +222,17 @@
 
 } // namespace
 
+void watchPermitStanding(Gateway &gateway)
+{
+    const auto &peers = gateway.m_peers;
+    const bool hearsOthers = peers.empty()
+        || std::any_of(peers.begin(), peers.end(),
+                       [&](const auto &peer) { return isPeerAlive(gateway, peer.second); });
+    Permits &permits = gateway.m_permits;
+    if (noteStanding(permits.m_standing, hearsOthers, now(gateway)))
+        permits.m_schedules.clear(); // other hosts may have given permits meanwhile
+}
+
 void recordServerLimit(Gateway &gateway, KnownServer &known, const LimitStatement &statement)
 {
     const bool hadLimit = known.m_said.m_limit.has_value();
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -227,8 +227,13 @@
 void dropUnlisted(Gateway &gateway, ObjectKind kind, const std::set<std::string> &listed)
 {
     if (kind == ObjectKind::Hosts) {
-        std::erase_if(gateway.m_peers,
-                      [&](const auto &peer) { return !listed.contains(peer.first.m_text); });
+        std::vector<HostName> gone;
+        for (const auto &[host, peer] : gateway.m_peers) {
+            if (!listed.contains(host.m_text))
+                gone.push_back(host);
+        }
+        for (const HostName &host : gone)
+            removePeer(gateway, host);
     }
     if (kind != ObjectKind::Servers)
         return;
@@ -270,7 +275,8 @@
         if (!page->m_more || page->m_objects.empty()) {
             dropUnlisted(gateway, kind, listed);
             if (kind == ObjectKind::Hosts) {
-                gateway.m_registerRead = true;
+                if (!std::exchange(gateway.m_registerRead, true))
+                    startStanding(gateway.m_permits.m_standing, now(gateway));
                 surveyVersionsIfDue(gateway);
             }
             if (kind == ObjectKind::Servers) {
--- a/tests/unit/gatewayhosts.cpp
+++ b/tests/unit/gatewayhosts.cpp
@@ -48,6 +48,44 @@
     return {};
 }
 
+/// The hosts that a test gateway may be one of, with it.
+const std::vector<HostName> fourHosts = {{"h0"}, {"h1"}, {"h2"}, {"h3"}};
+
+/// Whether h0 replies to a question of h1 for a permit. That it doesn't shows in the reply to a
+/// later question.
+bool repliesToPermitAsk(TestGateway &test, const InstanceId &server)
+{
+    Gateway &gateway = *test.m_gateway;
+    BackendServer entry;
+    entry.m_id = server;
+    entry.m_service = {"service"};
+    entry.m_serverStatus.m_startUnixMs = 1;
+    applyEntry(gateway.m_serverTable, entry, now(gateway));
+    wire::BeatT ask;
+    ask.host = "h1";
+    ask.brief = true;
+    ask.permit_ask = std::make_unique<wire::PermitAskT>();
+    ask.permit_ask->number = 1;
+    ask.permit_ask->limit = std::make_unique<wire::LimitEntryT>();
+    ask.permit_ask->limit->process = processId(gateway.m_serverTable.m_servers.at(server));
+    ask.permit_ask->limit->rate = 20;
+    test.send(ask);
+    wire::BeatT last;
+    last.host = "h1";
+    last.reply_wanted = true;
+    test.hear(last);
+    bool replied = false;
+    bool complete = false;
+    CPPUNIT_ASSERT(test.runUntil([&] {
+        for (const wire::BeatT &heartbeat : test.m_peer->received()) {
+            replied |= heartbeat.permit_reply != nullptr;
+            complete |= !heartbeat.brief;
+        }
+        return complete;
+    }));
+    return replied;
+}
+
 } // namespace
 
 class GatewayHostsTest : public CppUnit::TestFixture
@@ -62,6 +100,7 @@
     CPPUNIT_TEST(releaseByOlderBuildLeavesTheTokenUnknown);
     CPPUNIT_TEST(olderBuildsAreNotToldOfReleases);
     CPPUNIT_TEST(heartbeatsTellOfAllServersThatLeave);
+    CPPUNIT_TEST(onlyHostsWithAPartOfThePermitsReply);
     CPPUNIT_TEST(hostIsRemovedOnlyAfterUnansweredProbes);
     CPPUNIT_TEST(lostDatagramsRemoveNoHost);
     CPPUNIT_TEST(pausedHolderRemovesNoHost);
@@ -96,6 +135,24 @@
         CPPUNIT_ASSERT_EQUAL(0, hostRank(*test.m_gateway));
     }
 
+    /// Guards against more than two hosts that give permits for one server, each as many as the
+    /// limit allows: any host that was asked did, also one that was about to end.
+    void onlyHostsWithAPartOfThePermitsReply()
+    {
+        for (const char *const name : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}) {
+            TestGateway test;
+            for (const char *const other : {"h2", "h3"})
+                test.m_gateway->m_peers[{other}].m_entry.m_host = {other};
+            const InstanceId server = {name};
+            const std::vector<HostName> ranked = permitHosts(server, fourHosts);
+            const bool givesSome = ranked[0].m_text == "h0" || ranked[1].m_text == "h0";
+            CPPUNIT_ASSERT_EQUAL(givesSome, repliesToPermitAsk(test, server));
+            TestGateway stopping;
+            stopping.m_gateway->m_stopping = true;
+            CPPUNIT_ASSERT(!repliesToPermitAsk(stopping, server));
+        }
+    }
+
     /// Guards against a host that is never removed, and one that is removed for its silence alone.
     void hostIsRemovedOnlyAfterUnansweredProbes()
     {
