--- a/src/process/peerversions.h
+++ b/src/process/peerversions.h
@@ -1,13 +1,14 @@
 // Which versions of the configuration other hosts have in force.
 //
 // The store may come back from a copy that lacks a version which hosts already have in force. What
-// it answers then is older than what they know. So in each era of the store a host asks all others
-// for their version before it takes an answer of the store for the newest configuration, and it
-// never does while its own version is older than one that another host stated.
+// it answers then is older than what they know. So in each era of the store a host surveys others,
+// that is, asks them for their version, before it takes an answer of the store for the newest
+// configuration, and it never does while its own version is older than one that another host
+// stated.
 //
-// What can't be known: a version that no host has in force that can be asked, since all that had it
-// are gone, don't reply within the survey, or never got it. Such a version counts again once the
-// operator has written it again, or a later one.
+// What can't be known: a version that no host has in force that is asked, since all that had it are
+// gone, don't reply in time, or never got it. Such a version counts again once a heartbeat states
+// it, or the operator has written it again, or a later one.
 #pragma once
 
 #include "gateway.h"
